--- a/Makefile
+++ b/Makefile
@@ -15,17 +15,18 @@
 
 B = build
 PACKAGES_DIRS = store instlist catalogue caller minion sched worker peer
-LIB_SRC = $(wildcard lib/*.c)
+LIB_SRC = $(wildcard lib/*.c) $(wildcard lib/cell/*.c)
 COMMON_SRC = $(wildcard common/*.c)
 DAEMON_SRC = $(wildcard jayspoked/*.c) \
 	$(foreach d,$(PACKAGES_DIRS),$(wildcard $(d)/*.c))
 TOOL_SRC = $(wildcard jayspoke/*.c)
+CELLD_SRC = $(wildcard jaycelld/*.c) $(wildcard platform/*.c)
 FAKES = fakestore fakelist fakeworker fakeminion loadgen
 FAKE_SRC = $(wildcard fakes/*.c)
 BENCH_SRC = $(wildcard bench/*.c)
-C_SRC = $(LIB_SRC) $(COMMON_SRC) $(DAEMON_SRC) $(TOOL_SRC) $(FAKE_SRC) \
-	$(BENCH_SRC)
-HEADERS = $(wildcard */*.h)
+C_SRC = $(LIB_SRC) $(COMMON_SRC) $(DAEMON_SRC) $(CELLD_SRC) $(TOOL_SRC) \
+	$(FAKE_SRC) $(BENCH_SRC)
+HEADERS = $(wildcard */*.h) $(wildcard lib/cell/*.h)
 TEST_SRC = $(wildcard tests/*_test.cc)
 FUZZ_SRC = $(wildcard fuzz/*_fuzz.c)
 FORMATTED = $(C_SRC) $(HEADERS) $(wildcard tests/*.cc tests/*.c fuzz/*.c)
@@ -37,7 +38,7 @@
 COMMON = $(B)/libcommon.a
 PACKAGES_LIB = $(B)/libpackages.a
 PROGRAMS = $(if $(wildcard jayspoked/main.c),$(B)/jayspoked) \
-	$(if $(wildcard jayspoke/main.c),$(B)/jayspoke) \
+	$(if $(wildcard jayspoke/main.c),$(B)/jayspoke) $(B)/jaycelld \
 	$(foreach f,$(FAKES),$(if $(wildcard fakes/$(f).c),$(B)/$(f)))
 TESTS = $(patsubst tests/%.cc,$(B)/tests/%,$(TEST_SRC)) \
 	$(B)/tests/embed_example
@@ -65,6 +66,20 @@
 $(B)/jayspoked: $(O)/jayspoked/main.o $(ARCHIVES)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+# Without main.c, for the tests.
+CELLD = $(B)/libcelld.a
+$(CELLD): $(call OBJ,$(filter-out jaycelld/main.c,$(CELLD_SRC)))
+	@rm -f $@
+	ar rcs $@ $^
+
+PEER_LIB = $(call OBJ,peer/link.c peer/frame.c peer/codec.c)
+$(B)/jaycelld: $(O)/jaycelld/main.o $(CELLD) $(PEER_LIB) $(COMMON) $(LIB)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+# Where the deployment looks for it.
+target/jaycelld: $(B)/jaycelld
+	cp $< $@
+
 $(B)/jayspoke: $(call OBJ,$(TOOL_SRC)) $(COMMON) $(LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
--- /dev/null
+++ b/lib/cell/cell.c
@@ -0,0 +1,99 @@
+/* The cell scheduler as a whole: construction, ticks and figures. */
+#include "cell/cell.h"
+
+#include <stdlib.h>
+
+#include "cell/cell_int.h"
+
+/* Runs of a term are numbered from its token, which is never used twice. */
+#define RUNS_PER_TERM_BITS 22
+/* Between two searches for jobs that may be forgotten, in ms. */
+#define TIDY_MS 5000
+/* Tickets run out without an event, so passes have at most this gap, in ms. */
+#define PASS_MS 50
+
+/* Returns a cell that replays the journal until cell_replayed(). */
+struct cell *cell_new(struct cell_owner *owner,
+		      const struct cell_settings *settings, uint64_t now_ms)
+{
+	struct cell *cell = calloc(1, sizeof(*cell));
+
+	if (!cell)
+		abort();
+	cell->owner = owner;
+	cell->settings = *settings;
+	cell->started_ms = now_ms;
+	cell->replaying = true;
+	cell->next_run = (settings->token << RUNS_PER_TERM_BITS) + 1;
+	return cell;
+}
+
+void cell_free(struct cell *cell)
+{
+	if (!cell)
+		return;
+	cell_jobs_free(cell);
+	cell_minions_free(cell);
+	cell_advice_free(cell);
+	free(cell->ready);
+	free(cell->pending);
+	free(cell);
+}
+
+/* Sets the configuration; it has to stay valid until the next one is set. */
+void cell_set_config(struct cell *cell, const struct cell_config *config)
+{
+	cell->config = config;
+	cell->dirty = true;
+}
+
+/*
+ * Tells whether this term may still order minions. While it is not valid no
+ * run is started and no lease renewed; ends are still taken.
+ */
+void cell_set_valid(struct cell *cell, bool valid)
+{
+	if (cell->valid != valid)
+		cell->dirty = true;
+	cell->valid = valid;
+}
+
+/* Does what is due, and schedules if anything has changed. */
+void cell_tick(struct cell *cell, uint64_t unix_ms, uint64_t now_ms)
+{
+	if (cell->replaying)
+		return;
+	cell_job_timed(cell, unix_ms, now_ms);
+	cell_minions_tick(cell, now_ms);
+	if (now_ms >= cell->tidy_ms) {
+		cell->tidy_ms = now_ms + TIDY_MS;
+		cell_jobs_tidy(cell, now_ms);
+	}
+	if (cell->dirty || now_ms >= cell->scheduled_ms + PASS_MS) {
+		cell->scheduled_ms = now_ms;
+		cell_schedule(cell, now_ms);
+	}
+}
+
+void cell_get_stats(const struct cell *cell, struct cell_stats *stats)
+{
+	*stats = cell->stats;
+	stats->jobs = HASH_COUNT(cell->jobs);
+	stats->live_jobs = cell->live_jobs;
+	stats->ready_steps = cell->ready_count;
+	stats->unsettled = cell->unsettled;
+	stats->minions = 0;
+	stats->running = 0;
+	stats->used_cpu_milli = 0;
+	stats->total_cpu_milli = 0;
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		const struct cell_minion *m = cell->minions[i];
+
+		if (!m->used)
+			continue;
+		stats->minions += m->listed;
+		stats->running += m->run_count;
+		stats->used_cpu_milli += m->held.cpu_milli;
+		stats->total_cpu_milli += m->info.capacity.cpu_milli;
+	}
+}
--- /dev/null
+++ b/lib/cell/cell.h
@@ -0,0 +1,254 @@
+/*
+ * Scheduler of a cell, a set of availability zones whose minions one holder
+ * gives out. A state machine without I/O and without a clock: events come in as
+ * calls with the time, orders go out through the vtable of the owner.
+ */
+#ifndef JAYSPOKE_CELL_H
+#define JAYSPOKE_CELL_H
+
+#include "cell/spec.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define CELL_NONE UINT32_MAX
+#define CELL_QUESTION_MAX 100 /* minions that one question may name */
+
+struct cell;
+struct cell_owner;
+
+enum cell_job_state {
+	CELL_JOB_UNKNOWN,
+	CELL_JOB_QUEUED,
+	CELL_JOB_RUNNING,
+	CELL_JOB_COMPLETED,
+	CELL_JOB_FAILED,
+	CELL_JOB_CANCELLED,
+	CELL_JOB_STATES
+};
+
+enum cell_end {
+	CELL_END_DONE,
+	CELL_END_FAILED,  /* by its own fault or the minion's */
+	CELL_END_STOPPED, /* by an order */
+	CELL_END_LAPSED,  /* the lease ran out */
+	CELL_END_BROKEN,  /* another member of the gang ended */
+	CELL_END_ALONE,	  /* the other members did not come in time */
+	CELL_ENDS
+};
+
+/* Starts one run of a task. Strings are valid during the call. */
+struct cell_start {
+	uint32_t minion;
+	const char *addr;
+	const char *minion_id;
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+	const char *payload;
+	const char *ticket;	/* NULL: none */
+	const char *checkpoint; /* NULL: none */
+	uint64_t deadline_ms;	/* end of the lease, clock of the minion */
+};
+
+struct cell_stop {
+	uint32_t minion;
+	const char *addr;
+	const char *minion_id;
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+};
+
+/* Asks which of the minions may run a step. */
+struct cell_question {
+	uint32_t handle;
+	uint32_t lane; /* daemon that asks, as in cell_lane_up() */
+	char step[CELL_TASK_MAX];
+	uint32_t count;
+	const char *minions[CELL_QUESTION_MAX];
+};
+
+enum cell_record_kind {
+	CELL_RECORD_END,      /* a run ended */
+	CELL_RECORD_CANCEL,   /* a job was cancelled */
+	CELL_RECORD_ENROLLED, /* orders may be sent to a minion */
+	CELL_RECORD_SETTLED,  /* nothing runs on a minion any more */
+	CELL_RECORD_KINDS
+};
+
+/* One durable fact. Pointers are valid during the call. */
+struct cell_record {
+	enum cell_record_kind kind;
+	const char *job;   /* CANCEL */
+	const char *task;  /* END */
+	uint64_t run;	   /* END */
+	enum cell_end end; /* END */
+	const char *saved; /* END: checkpoint, NULL or empty: none */
+	const char *minion;
+	const char *addr; /* ENROLLED */
+};
+
+/* What changed, for the log. */
+struct cell_event {
+	const char *what; /* static text */
+	const char *job;  /* NULL: none */
+	const char *task; /* NULL: none */
+	const char *minion;
+	uint64_t run;
+	const char *detail; /* static text, NULL: none */
+	uint64_t age_ms;    /* of the job or of the input that decided */
+	uint64_t value;
+};
+
+struct cell_ops {
+	void (*start)(struct cell_owner *owner, const struct cell_start *start);
+	void (*stop)(struct cell_owner *owner, const struct cell_stop *stop);
+	void (*ask)(struct cell_owner *owner, const struct cell_question *q);
+	/* Adds a record to the journal; cell_recorded() confirms it. */
+	void (*record)(struct cell_owner *owner, uint64_t seq,
+		       const struct cell_record *record);
+	/* A minion has to be looked at: cell_hold_request() tells how. */
+	void (*hold)(struct cell_owner *owner, uint32_t minion);
+	void (*event)(struct cell_owner *owner, const struct cell_event *event);
+};
+
+/* Embedded as the first member of the owner. */
+struct cell_owner {
+	const struct cell_ops *ops;
+};
+
+struct cell_settings {
+	uint64_t token;		   /* fencing token of this term */
+	uint32_t lease_ms;	   /* granted to running tasks */
+	uint32_t hold_wait_ms;	   /* of a look that waits for an end */
+	uint32_t stop_timeout_ms;  /* a stop takes at most this long */
+	uint32_t predecessor_ms;   /* how long an earlier holder's runs last */
+	uint32_t status_ms;	   /* how long ended jobs stay known */
+};
+
+/* A minion as it was listed by the platform. */
+struct cell_minion_info {
+	char id[CELL_NAME_MAX];
+	char addr[CELL_ADDR_MAX];
+	char service[CELL_NAME_MAX];
+	char az[CELL_NAME_MAX];
+	char labels[CELL_LABELS_MAX][CELL_NAME_MAX];
+	uint32_t label_count;
+	struct cell_res capacity;
+	uint64_t born_unix_ms;
+	bool draining;
+	uint32_t remaining_ms; /* while draining, at least */
+};
+
+struct cell_running {
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+	const char *saved;
+	uint32_t percent;
+};
+
+struct cell_ended {
+	uint64_t number;
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+	enum cell_end end;
+	const char *saved;
+};
+
+/* What a minion says of its runs. */
+struct cell_report {
+	uint64_t born_unix_ms;
+	uint64_t clock_ms; /* of the minion */
+	uint32_t running_count;
+	const struct cell_running *running;
+	uint32_t ended_count;
+	const struct cell_ended *ended;
+};
+
+struct cell_hold {
+	const char *addr;
+	const char *id;
+	uint64_t observed;
+	uint64_t deadline_ms; /* 0: the lease is not renewed */
+	uint32_t wait_ms;
+};
+
+enum cell_result {
+	CELL_OK,
+	CELL_REJECTED_FENCE,
+	CELL_REJECTED_OLD,
+	CELL_REJECTED_LATE,
+	CELL_REJECTED_ROOM,
+	CELL_REJECTED_TICKET,
+	CELL_REJECTED_OTHER, /* nothing was done */
+	CELL_OTHER_LIFE,     /* another incarnation answered */
+	CELL_NOT_SENT,
+	CELL_NO_ANSWER, /* it may have been carried out, or will be */
+	CELL_RESULTS
+};
+
+struct cell_ticket {
+	const char *minion;
+	const char *ticket;
+};
+
+struct cell_stats {
+	uint32_t jobs;
+	uint32_t live_jobs;
+	uint32_t ready_steps;
+	uint32_t running;
+	uint32_t minions;
+	uint32_t unsettled; /* minions of an earlier term not yet heard */
+	uint64_t starts;
+	uint64_t ends[CELL_ENDS];
+	uint64_t rejected;
+	uint64_t questions;
+	uint64_t used_cpu_milli;
+	uint64_t total_cpu_milli;
+};
+
+struct cell *cell_new(struct cell_owner *owner,
+		      const struct cell_settings *settings, uint64_t now_ms);
+void cell_free(struct cell *cell);
+void cell_set_config(struct cell *cell, const struct cell_config *config);
+void cell_lane_up(struct cell *cell, uint32_t lane);
+void cell_lane_lost(struct cell *cell, uint32_t lane);
+void cell_set_valid(struct cell *cell, bool valid);
+
+bool cell_submit(struct cell *cell, struct cell_job_spec *spec,
+		 uint64_t unix_ms, uint64_t now_ms);
+void cell_replay(struct cell *cell, const struct cell_record *record);
+void cell_replayed(struct cell *cell, uint64_t now_ms);
+uint64_t cell_cancel(struct cell *cell, const char *id, uint64_t now_ms);
+enum cell_job_state cell_state(const struct cell *cell, const char *id);
+const char *cell_state_name(enum cell_job_state state);
+const char *cell_queue_of(const struct cell *cell, const char *id);
+uint32_t cell_pending(const struct cell *cell, const char *queue);
+bool cell_end_parse(const char *text, enum cell_end *end);
+const char *cell_end_name(enum cell_end end);
+
+void cell_set_minions(struct cell *cell, const struct cell_minion_info *infos,
+		      uint32_t count, uint64_t now_ms);
+bool cell_hold_request(struct cell *cell, uint32_t minion,
+		       struct cell_hold *out, uint64_t now_ms);
+void cell_on_report(struct cell *cell, uint32_t minion, const char *id,
+		    const struct cell_report *report, uint64_t sent_ms,
+		    uint64_t now_ms);
+void cell_on_hold_failed(struct cell *cell, uint32_t minion, const char *id,
+			 enum cell_result result, uint64_t now_ms);
+void cell_on_start(struct cell *cell, uint32_t minion, const char *task,
+		   uint64_t run, enum cell_result result, uint64_t now_ms);
+void cell_on_stop(struct cell *cell, uint32_t minion, const char *task,
+		  uint64_t run, enum cell_result result, uint64_t now_ms);
+void cell_on_advice(struct cell *cell, uint32_t question, bool answered,
+		    const struct cell_ticket *good, uint32_t count,
+		    uint64_t now_ms);
+void cell_recorded(struct cell *cell, uint64_t seq, uint64_t now_ms);
+void cell_tick(struct cell *cell, uint64_t unix_ms, uint64_t now_ms);
+void cell_get_stats(const struct cell *cell, struct cell_stats *stats);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/cell/job.c
@@ -0,0 +1,665 @@
+/* Jobs, their steps and tasks, and what the end of a run means for them. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/cell_int.h"
+
+static const char *const state_names[CELL_JOB_STATES] = {
+	[CELL_JOB_UNKNOWN] = "unknown",	    [CELL_JOB_QUEUED] = "queued",
+	[CELL_JOB_RUNNING] = "running",	    [CELL_JOB_COMPLETED] = "completed",
+	[CELL_JOB_FAILED] = "failed",	    [CELL_JOB_CANCELLED] = "cancelled",
+};
+
+static const char *const end_names[CELL_ENDS] = {
+	[CELL_END_DONE] = "done",	[CELL_END_FAILED] = "failed",
+	[CELL_END_STOPPED] = "stopped", [CELL_END_LAPSED] = "lapsed",
+	[CELL_END_BROKEN] = "broken",	[CELL_END_ALONE] = "alone",
+};
+
+const char *cell_state_name(enum cell_job_state state)
+{
+	return state_names[state];
+}
+
+const char *cell_end_name(enum cell_end end)
+{
+	return end_names[end];
+}
+
+/* Reads the name of an end; returns false if there is none such. */
+bool cell_end_parse(const char *text, enum cell_end *end)
+{
+	for (uint32_t i = 0; i < CELL_ENDS; i++) {
+		if (!strcmp(text, end_names[i])) {
+			*end = (enum cell_end)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Makes room for one more item; the process ends when memory is exhausted. */
+bool cell_grow(void **items, uint32_t *capacity, uint32_t count, size_t size)
+{
+	uint32_t n;
+
+	if (count < *capacity)
+		return true;
+	n = *capacity ? *capacity * 2 : 16;
+	*items = realloc(*items, n * size);
+	if (!*items)
+		abort();
+	*capacity = n;
+	return true;
+}
+
+void cell_event(struct cell *cell, const struct cell_event *event)
+{
+	if (cell->owner->ops->event)
+		cell->owner->ops->event(cell->owner, event);
+}
+
+struct cell_job *cell_job_find(const struct cell *cell, const char *id)
+{
+	struct cell_job *job;
+
+	HASH_FIND_STR(cell->jobs, id, job);
+	return job;
+}
+
+static struct cell_occurrence *occurrence_find(struct cell_job *job,
+					       uint32_t number)
+{
+	for (uint32_t i = 0; i < job->occurrence_count; i++) {
+		if (job->occurrences[i].number == number)
+			return &job->occurrences[i];
+	}
+	return NULL;
+}
+
+/* Returns the step that @name is in, or NULL if it is not held any more. */
+struct cell_step *cell_step_find(const struct cell *cell,
+				 const struct cell_task_name *name)
+{
+	struct cell_job *job = cell_job_find(cell, name->job);
+	struct cell_occurrence *occurrence;
+
+	if (!job)
+		return NULL;
+	occurrence = occurrence_find(job, name->occurrence);
+	if (!occurrence || name->step >= job->spec.step_count)
+		return NULL;
+	return &occurrence->steps[name->step];
+}
+
+/* Returns the task of that name and its step, or NULL. */
+struct cell_task *cell_task_find(const struct cell *cell, const char *task,
+				 struct cell_step **step)
+{
+	struct cell_task_name name;
+
+	if (!cell_task_parse(task, &name))
+		return NULL;
+	*step = cell_step_find(cell, &name);
+	if (!*step || name.index >= (*step)->spec->count)
+		return NULL;
+	return &(*step)->tasks[name.index];
+}
+
+void cell_step_name(const struct cell_step *step, uint32_t task,
+		    char out[CELL_TASK_MAX])
+{
+	struct cell_task_name name = { .occurrence = step->occurrence,
+				       .step = step->index,
+				       .index = task };
+
+	memcpy(name.job, step->job->spec.id, sizeof(name.job));
+	cell_task_format(&name, out);
+}
+
+/* Returns the number of tasks that have no run and are not done. */
+uint32_t cell_step_todo(const struct cell_step *step)
+{
+	return step->left - step->active;
+}
+
+/* Puts an open step with tasks to start into the list of ready steps. */
+void cell_ready_add(struct cell *cell, struct cell_step *step)
+{
+	cell->dirty = true;
+	if (step->waiting || !step->open || !cell_step_todo(step))
+		return;
+	step->waiting = true;
+	cell_grow((void **)&cell->ready, &cell->ready_capacity,
+		  cell->ready_count, sizeof(struct cell_step *));
+	cell->ready[cell->ready_count++] = step;
+}
+
+static bool job_is_live(const struct cell_job *job)
+{
+	return job->final == CELL_JOB_UNKNOWN &&
+	       (job->state == CELL_JOB_QUEUED || job->state == CELL_JOB_RUNNING);
+}
+
+/* Opens the steps whose predecessors are done. */
+static void open_steps(struct cell *cell, struct cell_job *job,
+		       struct cell_occurrence *occurrence, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < job->spec.step_count; i++) {
+		struct cell_step *step = &occurrence->steps[i];
+		bool open = true;
+
+		if (step->open)
+			continue;
+		for (uint32_t k = 0; k < i; k++) {
+			if ((step->spec->after >> k & 1) &&
+			    occurrence->steps[k].left)
+				open = false;
+		}
+		if (!open)
+			continue;
+		step->open = true;
+		step->opened_ms = now_ms;
+		if (!cell->replaying)
+			cell_ready_add(cell, step);
+	}
+}
+
+static void occurrence_add(struct cell *cell, struct cell_job *job,
+			   uint32_t number, uint64_t now_ms)
+{
+	struct cell_occurrence *o;
+	uint32_t n = job->occurrence_count + 1;
+
+	job->occurrences = realloc(job->occurrences, n * sizeof(*o));
+	if (!job->occurrences)
+		abort();
+	o = &job->occurrences[job->occurrence_count];
+	*o = (struct cell_occurrence){ .number = number,
+				       .steps_left = job->spec.step_count };
+	o->steps = calloc(job->spec.step_count, sizeof(*o->steps));
+	if (!o->steps)
+		abort();
+	for (uint32_t i = 0; i < job->spec.step_count; i++) {
+		struct cell_step *step = &o->steps[i];
+
+		step->job = job;
+		step->spec = &job->spec.steps[i];
+		step->occurrence = number;
+		step->index = i;
+		step->left = step->spec->count;
+		step->tasks = calloc(step->spec->count, sizeof(*step->tasks));
+		if (!step->tasks)
+			abort();
+		for (uint32_t t = 0; t < step->spec->count; t++)
+			step->tasks[t].failed_on = CELL_NONE;
+	}
+	job->occurrence_count = n;
+	open_steps(cell, job, o, now_ms);
+}
+
+static void occurrences_free(struct cell *cell, struct cell_job *job)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < cell->ready_count; i++) {
+		if (cell->ready[i]->job != job)
+			cell->ready[kept++] = cell->ready[i];
+	}
+	cell->ready_count = kept;
+	for (uint32_t i = 0; i < job->occurrence_count; i++) {
+		for (uint32_t s = 0; s < job->spec.step_count; s++) {
+			struct cell_step *step = &job->occurrences[i].steps[s];
+
+			for (uint32_t t = 0; t < step->spec->count; t++)
+				free(step->tasks[t].saved);
+			free(step->tasks);
+			free(step->grants);
+			free(step->refused);
+		}
+		free(job->occurrences[i].steps);
+	}
+	free(job->occurrences);
+	job->occurrences = NULL;
+	job->occurrence_count = 0;
+}
+
+/* Length of the longest chain of steps, by their estimates, in ms. */
+static uint64_t job_chain_ms(const struct cell_job_spec *spec)
+{
+	uint64_t at[CELL_STEPS_MAX] = { 0 };
+	uint64_t longest = 0;
+
+	for (uint32_t i = 0; i < spec->step_count; i++) {
+		uint64_t before = 0;
+
+		for (uint32_t k = 0; k < i; k++) {
+			if ((spec->steps[i].after >> k & 1) && at[k] > before)
+				before = at[k];
+		}
+		at[i] = before + spec->steps[i].estimate_ms;
+		if (at[i] > longest)
+			longest = at[i];
+	}
+	return longest;
+}
+
+/*
+ * Takes a job that is stored, and owns what @spec points to from then on.
+ * Returns false, and releases @spec, if the job is known already.
+ */
+bool cell_submit(struct cell *cell, struct cell_job_spec *spec,
+		 uint64_t unix_ms, uint64_t now_ms)
+{
+	const struct cell_queue_spec *queue = NULL;
+	struct cell_job *job = cell_job_find(cell, spec->id);
+
+	if (job) {
+		cell_job_spec_free(spec);
+		return false;
+	}
+	job = calloc(1, sizeof(*job));
+	if (!job)
+		abort();
+	job->spec = *spec;
+	*spec = (struct cell_job_spec){ 0 };
+	job->state = CELL_JOB_QUEUED;
+	job->inherited = cell->replaying;
+	job->known_ms = now_ms;
+	if (cell->config)
+		queue = cell_config_queue(cell->config, job->spec.queue);
+	job->deadline_unix_ms = job->spec.accepted_unix_ms +
+				(queue ? queue->slo_ms : 0) +
+				(uint64_t)((queue ? queue->stretch : 1.0) *
+					   job_chain_ms(&job->spec));
+	HASH_ADD_STR(cell->jobs, spec.id, job);
+	cell->live_jobs++;
+	cell->stats.jobs++;
+	cell_event(cell,
+		   &(struct cell_event){
+			   .what = "job-known",
+			   .job = job->spec.id,
+			   .detail = cell->replaying ? "inherited" : "new",
+			   .age_ms = unix_ms > job->spec.accepted_unix_ms ?
+					     unix_ms - job->spec.accepted_unix_ms :
+					     0 });
+	if (!job->spec.repeat_count)
+		occurrence_add(cell, job, 0, now_ms);
+	else
+		cell_job_timed(cell, unix_ms, now_ms);
+	return true;
+}
+
+/* Creates the occurrences of timed jobs that are due. */
+void cell_job_timed(struct cell *cell, uint64_t unix_ms, uint64_t now_ms)
+{
+	struct cell_job *job;
+	struct cell_job *tmp;
+
+	HASH_ITER(hh, cell->jobs, job, tmp) {
+		if (!job->spec.repeat_count || !job_is_live(job))
+			continue;
+		while (job->occurrence_count < job->spec.repeat_count &&
+		       unix_ms >= job->spec.first_unix_ms +
+					  job->occurrence_count *
+						  job->spec.interval_ms)
+			occurrence_add(cell, job, job->occurrence_count,
+				       now_ms);
+	}
+}
+
+static bool job_is_done(const struct cell_job *job)
+{
+	uint32_t want = job->spec.repeat_count ? job->spec.repeat_count : 1;
+
+	if (job->occurrence_count < want)
+		return false;
+	for (uint32_t i = 0; i < job->occurrence_count; i++) {
+		if (job->occurrences[i].steps_left)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Shows the decided state of a job to callers once all its records are durable:
+ * a successor must not know less than a caller has been told.
+ */
+void cell_job_settle(struct cell *cell, struct cell_job *job, uint64_t now_ms)
+{
+	if (job->final == CELL_JOB_UNKNOWN && job_is_done(job))
+		job->final = CELL_JOB_COMPLETED;
+	if (job->final == CELL_JOB_UNKNOWN || job->unrecorded ||
+	    job->state == job->final || cell->replaying)
+		return;
+	job->state = job->final;
+	job->ended_ms = now_ms;
+	cell->live_jobs--;
+	cell_event(cell, &(struct cell_event){
+				 .what = "job-ended",
+				 .job = job->spec.id,
+				 .detail = state_names[job->state],
+				 .age_ms = now_ms - job->known_ms });
+	occurrences_free(cell, job);
+}
+
+/* Stops every run of a job. */
+void cell_job_stop_runs(struct cell *cell, struct cell_job *job,
+			uint64_t now_ms)
+{
+	size_t len = strlen(job->spec.id);
+
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		struct cell_minion *m = cell->minions[i];
+
+		for (uint32_t r = 0; m->used && r < m->run_count; r++) {
+			struct cell_run *run = &m->runs[r];
+
+			if (!strncmp(run->task, job->spec.id, len) &&
+			    run->task[len] == '.')
+				cell_run_stop(cell, m, run, now_ms);
+		}
+	}
+}
+
+/* Stops the members of a run of a gang that cannot come together any more. */
+void cell_gang_abort(struct cell *cell, struct cell_step *step, uint64_t run,
+		     uint64_t now_ms)
+{
+	char prefix[CELL_TASK_MAX];
+	size_t len;
+
+	cell_step_name(step, 0, prefix);
+	len = strlen(prefix) - 1;
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		struct cell_minion *m = cell->minions[i];
+
+		for (uint32_t r = 0; m->used && r < m->run_count; r++) {
+			struct cell_run *member = &m->runs[r];
+
+			if (member->run == run &&
+			    !strncmp(member->task, prefix, len))
+				cell_run_stop(cell, m, member, now_ms);
+		}
+	}
+}
+
+static void decide(struct cell *cell, struct cell_job *job,
+		   enum cell_job_state state, uint64_t now_ms)
+{
+	job->final = state;
+	cell_job_stop_runs(cell, job, now_ms);
+}
+
+/*
+ * Cancels a job. Returns the sequence number whose durability confirms it, 0 if
+ * nothing has to be awaited, and UINT64_MAX if the job is unknown.
+ */
+uint64_t cell_cancel(struct cell *cell, const char *id, uint64_t now_ms)
+{
+	struct cell_job *job = cell_job_find(cell, id);
+
+	if (!job)
+		return UINT64_MAX;
+	if (!job_is_live(job)) {
+		if (job->state == CELL_JOB_CANCELLED ||
+		    job->final != CELL_JOB_CANCELLED)
+			return 0;
+		return job->cancel_seq;
+	}
+	decide(cell, job, CELL_JOB_CANCELLED, now_ms);
+	job->unrecorded++;
+	cell_event(cell, &(struct cell_event){ .what = "job-cancelled",
+					       .job = id,
+					       .age_ms = now_ms -
+							 job->known_ms });
+	job->cancel_seq = cell_record_add(
+		cell,
+		&(struct cell_record){ .kind = CELL_RECORD_CANCEL, .job = id },
+		id, NULL, 0, now_ms);
+	return job->cancel_seq;
+}
+
+static void save_checkpoint(struct cell_step *step, struct cell_task *task,
+			    const char *saved)
+{
+	uint32_t from = (uint32_t)(task - step->tasks);
+	uint32_t to = from + 1;
+
+	if (!saved || !saved[0])
+		return;
+	/* The checkpoint of any member of a gang is valid for all. */
+	if (step->spec->gang) {
+		from = 0;
+		to = step->spec->count;
+	}
+	for (uint32_t i = from; i < to; i++) {
+		char *copy;
+
+		if (step->tasks[i].saved &&
+		    !strcmp(step->tasks[i].saved, saved))
+			continue;
+		copy = strdup(saved);
+		if (!copy)
+			abort();
+		free(step->tasks[i].saved);
+		step->tasks[i].saved = copy;
+	}
+}
+
+static void step_done(struct cell *cell, struct cell_step *step,
+		      uint64_t now_ms)
+{
+	struct cell_job *job = step->job;
+	struct cell_occurrence *o = occurrence_find(job, step->occurrence);
+
+	o->steps_left--;
+	open_steps(cell, job, o, now_ms);
+	if (job_is_done(job) && job->final == CELL_JOB_UNKNOWN)
+		job->final = CELL_JOB_COMPLETED;
+}
+
+static void task_done(struct cell *cell, struct cell_step *step,
+		      struct cell_task *task, uint64_t now_ms)
+{
+	if (task->state == CELL_TASK_DONE || step->spec->long_running)
+		return;
+	if (task->state == CELL_TASK_ACTIVE)
+		step->active--;
+	task->state = CELL_TASK_DONE;
+	step->left--;
+	if (!step->left)
+		step_done(cell, step, now_ms);
+}
+
+/* The one end of a gang that is done stands for all its members. */
+static void gang_done(struct cell *cell, struct cell_step *step,
+		      uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < step->spec->count && step->left; i++)
+		task_done(cell, step, &step->tasks[i], now_ms);
+}
+
+static uint32_t count_failure(struct cell_step *step, struct cell_task *task,
+			      uint64_t run)
+{
+	if (!step->spec->gang)
+		return ++task->fails;
+	if (step->gang_failed_run != run) {
+		step->gang_failed_run = run;
+		step->gang_fails++;
+	}
+	return step->gang_fails;
+}
+
+static void task_failed(struct cell *cell, struct cell_step *step,
+			struct cell_task *task, uint64_t run, uint32_t minion,
+			uint64_t now_ms)
+{
+	const struct cell_queue_spec *queue = NULL;
+	uint32_t fails = count_failure(step, task, run);
+
+	task->failed_on = minion;
+	if (step->spec->long_running)
+		return;
+	if (cell->config)
+		queue = cell_config_queue(cell->config, step->job->spec.queue);
+	if (queue && fails >= queue->max_attempts && job_is_live(step->job))
+		decide(cell, step->job, CELL_JOB_FAILED, now_ms);
+}
+
+/* The task has no run any more; it becomes ready unless it is done. */
+void cell_task_release(struct cell *cell, const char *task, uint64_t run,
+		       uint64_t now_ms)
+{
+	struct cell_step *step;
+	struct cell_task *t = cell_task_find(cell, task, &step);
+
+	(void)now_ms;
+	cell->dirty = true;
+	if (!t || t->state != CELL_TASK_ACTIVE || t->run != run)
+		return;
+	t->state = CELL_TASK_READY;
+	step->active--;
+	if (job_is_live(step->job))
+		cell_ready_add(cell, step);
+}
+
+/*
+ * Applies the end of a run to its task. Returns true if the end is new and has
+ * to be recorded; the same end may be reported many times, also by a journal.
+ */
+bool cell_end_apply(struct cell *cell, const struct cell_ended *end,
+		    uint32_t minion, uint64_t now_ms)
+{
+	struct cell_step *step;
+	struct cell_task *task = cell_task_find(cell, end->task, &step);
+
+	if (!task || end->run <= task->ended_run)
+		return false;
+	task->ended_run = end->run;
+	if (end->run > task->run)
+		task->run = end->run;
+	step->job->begun = true;
+	if (step->job->state == CELL_JOB_QUEUED)
+		step->job->state = CELL_JOB_RUNNING;
+	save_checkpoint(step, task, end->saved);
+	if (end->end == CELL_END_DONE && step->spec->gang)
+		gang_done(cell, step, now_ms);
+	else if (end->end == CELL_END_DONE)
+		task_done(cell, step, task, now_ms);
+	else if (end->end == CELL_END_FAILED)
+		task_failed(cell, step, task, end->run, minion, now_ms);
+	cell_task_release(cell, end->task, end->run, now_ms);
+	return true;
+}
+
+/* Applies a record of the journal of earlier terms, in their order. */
+void cell_replay(struct cell *cell, const struct cell_record *record)
+{
+	struct cell_ended end = { .run = record->run,
+				  .end = record->end,
+				  .saved = record->saved };
+	struct cell_job *job;
+
+	switch (record->kind) {
+	case CELL_RECORD_END:
+		snprintf(end.task, sizeof(end.task), "%s", record->task);
+		cell_end_apply(cell, &end, CELL_NONE, cell->started_ms);
+		break;
+	case CELL_RECORD_CANCEL:
+		job = cell_job_find(cell, record->job);
+		if (job && job_is_live(job))
+			job->final = CELL_JOB_CANCELLED;
+		break;
+	case CELL_RECORD_ENROLLED:
+		cell_minion_inherit(cell, record->minion, record->addr);
+		break;
+	case CELL_RECORD_SETTLED:
+		cell_minion_forget(cell, record->minion);
+		break;
+	case CELL_RECORD_KINDS:
+		break;
+	}
+}
+
+/* Ends the replay: what is open becomes ready. */
+void cell_replayed(struct cell *cell, uint64_t now_ms)
+{
+	struct cell_job *job;
+	struct cell_job *tmp;
+
+	cell->replaying = false;
+	HASH_ITER(hh, cell->jobs, job, tmp) {
+		cell_job_settle(cell, job, now_ms);
+		if (!job_is_live(job))
+			continue;
+		for (uint32_t i = 0; i < job->occurrence_count; i++) {
+			for (uint32_t s = 0; s < job->spec.step_count; s++)
+				cell_ready_add(cell,
+					       &job->occurrences[i].steps[s]);
+		}
+	}
+}
+
+/* Returns the state of a job as callers may see it. */
+enum cell_job_state cell_state(const struct cell *cell, const char *id)
+{
+	const struct cell_job *job = cell_job_find(cell, id);
+
+	return job ? job->state : CELL_JOB_UNKNOWN;
+}
+
+/* Returns the name of the queue of a job, or NULL. */
+const char *cell_queue_of(const struct cell *cell, const char *id)
+{
+	const struct cell_job *job = cell_job_find(cell, id);
+
+	return job ? job->spec.queue : NULL;
+}
+
+/* Returns how many accepted jobs of a queue have not started a task. */
+uint32_t cell_pending(const struct cell *cell, const char *queue)
+{
+	struct cell_job *job;
+	struct cell_job *tmp;
+	uint32_t n = 0;
+
+	HASH_ITER(hh, cell->jobs, job, tmp) {
+		if (job->state == CELL_JOB_QUEUED && !job->begun &&
+		    job_is_live(job) && !strcmp(job->spec.queue, queue))
+			n++;
+	}
+	return n;
+}
+
+static void job_free(struct cell *cell, struct cell_job *job)
+{
+	occurrences_free(cell, job);
+	HASH_DEL(cell->jobs, job);
+	cell_job_spec_free(&job->spec);
+	free(job);
+}
+
+/* Forgets jobs that ended longer ago than callers may ask for. */
+void cell_jobs_tidy(struct cell *cell, uint64_t now_ms)
+{
+	struct cell_job *job;
+	struct cell_job *tmp;
+
+	HASH_ITER(hh, cell->jobs, job, tmp) {
+		if (job->ended_ms &&
+		    now_ms > job->ended_ms + cell->settings.status_ms)
+			job_free(cell, job);
+	}
+}
+
+void cell_jobs_free(struct cell *cell)
+{
+	struct cell_job *job;
+	struct cell_job *tmp;
+
+	HASH_ITER(hh, cell->jobs, job, tmp)
+		job_free(cell, job);
+}
--- /dev/null
+++ b/lib/cell/spec.c
@@ -0,0 +1,96 @@
+#include "cell/spec.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Releases what @spec points to; @spec itself belongs to the caller. */
+void cell_job_spec_free(struct cell_job_spec *spec)
+{
+	free(spec->payload);
+	free(spec->steps);
+	*spec = (struct cell_job_spec){ 0 };
+}
+
+/* Releases what @config points to; @config itself belongs to the caller. */
+void cell_config_free(struct cell_config *config)
+{
+	free(config->queues);
+	*config = (struct cell_config){ 0 };
+}
+
+/* Returns the queue of that name, or NULL. */
+const struct cell_queue_spec *cell_config_queue(const struct cell_config *config,
+						const char *name)
+{
+	for (uint32_t i = 0; i < config->queue_count; i++) {
+		if (!strcmp(config->queues[i].name, name))
+			return &config->queues[i];
+	}
+	return NULL;
+}
+
+/* Returns the queue of @host with the longest prefix of @path, or NULL. */
+const struct cell_queue_spec *cell_config_route(const struct cell_config *config,
+						const char *host,
+						const char *path)
+{
+	const struct cell_queue_spec *best = NULL;
+	size_t best_len = 0;
+
+	for (uint32_t i = 0; i < config->queue_count; i++) {
+		const struct cell_queue_spec *q = &config->queues[i];
+		size_t len = strlen(q->prefix);
+
+		if (strcmp(q->host, host) != 0 ||
+		    strncmp(q->prefix, path, len) != 0)
+			continue;
+		if (!best || len > best_len) {
+			best = q;
+			best_len = len;
+		}
+	}
+	return best;
+}
+
+/* Writes "JOB.OCCURRENCE.STEP.INDEX". */
+void cell_task_format(const struct cell_task_name *name,
+		      char out[CELL_TASK_MAX])
+{
+	snprintf(out, CELL_TASK_MAX, "%s.%u.%u.%u", name->job, name->occurrence,
+		 name->step, name->index);
+}
+
+static bool parse_number(const char **p, uint32_t *out)
+{
+	char *end;
+	unsigned long v;
+
+	if (**p < '0' || **p > '9')
+		return false;
+	v = strtoul(*p, &end, 10);
+	if (v > UINT32_MAX)
+		return false;
+	*out = (uint32_t)v;
+	*p = end;
+	return true;
+}
+
+/* Reads a task name; returns false if it has another form. */
+bool cell_task_parse(const char *text, struct cell_task_name *name)
+{
+	const char *dot = strchr(text, '.');
+	size_t len = dot ? (size_t)(dot - text) : 0;
+	const char *p = dot;
+
+	if (!dot || !len || len >= sizeof(name->job))
+		return false;
+	memcpy(name->job, text, len);
+	name->job[len] = '\0';
+	p++;
+	if (!parse_number(&p, &name->occurrence) || *p++ != '.')
+		return false;
+	if (!parse_number(&p, &name->step) || *p++ != '.')
+		return false;
+	return parse_number(&p, &name->index) && !*p;
+}
--- /dev/null
+++ b/lib/cell/spec.h
@@ -0,0 +1,112 @@
+/* What callers ask for: jobs, their steps, and the queues that take them. */
+#ifndef JAYSPOKE_CELL_SPEC_H
+#define JAYSPOKE_CELL_SPEC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define CELL_ID_MAX 20	   /* bytes of a job id, with NUL */
+#define CELL_NAME_MAX 64   /* bytes of other names, with NUL */
+#define CELL_ADDR_MAX 32   /* "address:port", with NUL */
+#define CELL_TASK_MAX 56   /* bytes of a task name, with NUL */
+#define CELL_TICKET_MAX 64 /* bytes of a ticket, with NUL */
+#define CELL_LABELS_MAX 8  /* labels of a minion */
+#define CELL_STEPS_MAX 32  /* steps of a job */
+#define CELL_TASKS_MAX 4096
+#define CELL_PAYLOAD_MAX 4096
+
+struct cell_res {
+	uint32_t cpu_milli; /* thousandths of a core */
+	uint32_t mem_mb;
+	uint32_t gpu;
+};
+
+struct cell_step_spec {
+	uint32_t count; /* tasks */
+	struct cell_res need;
+	uint32_t estimate_ms;	/* of one task, rough */
+	uint32_t after;		/* bit mask of steps that have to be done */
+	uint32_t anti_affinity; /* most tasks on one minion, 0: no bound */
+	uint32_t target_ms;	/* tail latency of a serving task, 0: none */
+	uint32_t may_miss;	/* serving tasks that may be away at a time */
+	bool gang;
+	bool same_rack;
+	bool checkpointing;
+	bool speculative;
+	bool long_running;
+	bool fills; /* takes the processors that others leave unused */
+	char requires[CELL_NAME_MAX]; /* label of the minion, empty: any */
+	char affinity[CELL_NAME_MAX]; /* rack of the data, empty: none */
+	char image[CELL_NAME_MAX];
+};
+
+/* A job as it was accepted; it does not change afterwards. */
+struct cell_job_spec {
+	char id[CELL_ID_MAX];
+	char queue[CELL_NAME_MAX];
+	char *payload;		 /* passed to each task */
+	uint64_t accepted_unix_ms;
+	uint32_t step_count;
+	struct cell_step_spec *steps;
+	uint32_t repeat_count;	/* 0: the steps run once, at once */
+	uint64_t first_unix_ms; /* due time of the first occurrence */
+	uint64_t interval_ms;
+};
+
+/* Cost and lifetime of a placement ticket of a queue. */
+struct cell_advice_spec {
+	bool needed;
+	double decide_ms;
+	double per_minion_ms;
+	uint32_t valid_ms;
+};
+
+struct cell_queue_spec {
+	char name[CELL_NAME_MAX];
+	char host[CELL_NAME_MAX];
+	char prefix[CELL_NAME_MAX];
+	char service[CELL_NAME_MAX];
+	uint32_t priority; /* 0 is the most urgent */
+	uint32_t max_attempts;
+	uint32_t slo_ms;
+	uint32_t timeout_ms;
+	double stretch;
+	struct cell_advice_spec advice;
+};
+
+struct cell_config {
+	uint64_t version;
+	uint32_t queue_count;
+	struct cell_queue_spec *queues;
+};
+
+void cell_job_spec_free(struct cell_job_spec *spec);
+void cell_config_free(struct cell_config *config);
+const struct cell_queue_spec *cell_config_queue(const struct cell_config *config,
+						const char *name);
+const struct cell_queue_spec *cell_config_route(const struct cell_config *config,
+						const char *host,
+						const char *path);
+
+/* Position of a task: job id, occurrence, step and index. */
+struct cell_task_name {
+	char job[CELL_ID_MAX];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+};
+
+void cell_task_format(const struct cell_task_name *name,
+		      char out[CELL_TASK_MAX]);
+bool cell_task_parse(const char *text, struct cell_task_name *name);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
