--- /dev/null
+++ b/common/ev.c
@@ -0,0 +1,109 @@
+#include "ev.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <syslog.h>
+#include <time.h>
+#include <unistd.h>
+
+/* What one turn of the loop may write; more is dropped and counted. */
+#define EV_BUFFER_BYTES 65536
+#define EV_LINE_MAX 512
+
+static char ev_buffer[EV_BUFFER_BYTES];
+static size_t ev_used;
+static uint64_t ev_lost;
+static uint64_t ev_lost_told;
+static const char *ev_program = "jayspoke";
+static char ev_instance[64] = "-";
+static time_t ev_second;
+static char ev_stamp[32];
+
+/* Sets the names in each line; standard output stops blocking. */
+void ev_open(const char *program, const char *instance)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	ev_program = program;
+	snprintf(ev_instance, sizeof(ev_instance), "%s", instance);
+	if (flags >= 0)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+static void stamp(const struct timespec *ts)
+{
+	struct tm tm;
+
+	if (ts->tv_sec == ev_second)
+		return;
+	ev_second = ts->tv_sec;
+	gmtime_r(&ts->tv_sec, &tm);
+	strftime(ev_stamp, sizeof(ev_stamp), "%Y-%m-%dT%H:%M:%S", &tm);
+}
+
+/* Adds one line, in the order of the fields of RFC 3164. */
+void ev(const char *event, const char *fmt, ...)
+{
+	char *line = ev_buffer + ev_used;
+	size_t room = sizeof(ev_buffer) - ev_used;
+	struct timespec ts;
+	va_list ap;
+	int n;
+	int m;
+
+	if (room < EV_LINE_MAX) {
+		ev_lost++;
+		return;
+	}
+	clock_gettime(CLOCK_REALTIME, &ts);
+	stamp(&ts);
+	n = snprintf(line, EV_LINE_MAX, "<%d>%s.%03ldZ %s %s: event=%s ",
+		     LOG_DAEMON | LOG_INFO, ev_stamp, ts.tv_nsec / 1000000,
+		     ev_instance, ev_program, event);
+	va_start(ap, fmt);
+	m = vsnprintf(line + n, (size_t)(EV_LINE_MAX - n), fmt, ap);
+	va_end(ap);
+	if (m < 0)
+		return;
+	n += m;
+	if (n > EV_LINE_MAX - 2)
+		n = EV_LINE_MAX - 2;
+	line[n] = '\n';
+	ev_used += (size_t)n + 1;
+}
+
+/* Writes what has gathered; the loop calls it once a turn. */
+void ev_flush(void)
+{
+	size_t at = 0;
+
+	while (at < ev_used) {
+		ssize_t n = write(STDOUT_FILENO, ev_buffer + at, ev_used - at);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0) {
+			for (size_t i = at; i < ev_used; i++)
+				ev_lost += ev_buffer[i] == '\n';
+			ev_used = 0;
+			return;
+		}
+		at += (size_t)n;
+	}
+	ev_used = 0;
+	if (ev_lost != ev_lost_told) {
+		uint64_t lost = ev_lost - ev_lost_told;
+
+		ev_lost_told = ev_lost;
+		ev("log-dropped", "lines=%llu", (unsigned long long)lost);
+	}
+}
+
+/* Returns the number of lines that were dropped. */
+uint64_t ev_dropped(void)
+{
+	return ev_lost;
+}
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -117,8 +117,12 @@
 		&req->pool, sizeof(*guard), on_request_disposed);
 	size_t path_len =
 		req->query_at == SIZE_MAX ? req->path.len : req->query_at;
+	const char *colon = memchr(req->authority.base, ':', req->authority.len);
+	size_t host_len = colon ? (size_t)(colon - req->authority.base) :
+				  req->authority.len;
 	struct httpd_request request = {
 		.method = pool_string(req, req->method.base, req->method.len),
+		.host = pool_string(req, req->authority.base, host_len),
 		.path = pool_string(req, req->path.base, path_len),
 		.query = "",
 		.body = pool_string(req,
--- a/common/httpd.h
+++ b/common/httpd.h
@@ -15,6 +15,7 @@
 struct httpd_request {
 	uint32_t handle; /* for httpd_reply(), also later */
 	const char *method;
+	const char *host;  /* without port, empty if none */
 	const char *path;  /* without query */
 	const char *query; /* without '?', empty if none */
 	const char *body;  /* NUL-terminated */
