Add jaycelld, the daemon of a cell

Every daemon stores the jobs that it accepts; the holder schedules, journals ends and answers for states.

--- /dev/null
+++ b/jaycelld/conf.c
@@ -0,0 +1,187 @@
+/* Settings of the daemon, read from a JSON file. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <jansson.h>
+
+#include "celld.h"
+
+enum setting_type {
+	SETTING_NAME,	  /* text, not empty */
+	SETTING_ADDR,	  /* "address:port" */
+	SETTING_OPT_ADDR, /* the same, or empty or absent */
+	SETTING_MS,	  /* whole number, 1 to SETTING_NUMBER_MAX */
+	SETTING_SHARE	  /* number above 0 */
+};
+
+#define SETTING_NUMBER_MAX 86400000
+
+struct setting {
+	const char *key;
+	enum setting_type type;
+	size_t offset;
+};
+
+#define SETTING(member, kind)                                  \
+	{                                                      \
+		.key = #member, .type = SETTING_##kind,        \
+		.offset = offsetof(struct cd_conf, member),    \
+	}
+
+static const struct setting settings[] = {
+	SETTING(name, NAME),
+	SETTING(az, NAME),
+	SETTING(region, NAME),
+	SETTING(listen_callers, ADDR),
+	SETTING(listen_ready, ADDR),
+	SETTING(listen_peers, ADDR),
+	SETTING(listen_operators, ADDR),
+	SETTING(store, ADDR),
+	SETTING(advice, OPT_ADDR),
+	SETTING(cpu_share, SHARE),
+	SETTING(lease_ms, MS),
+	SETTING(hold_max_ms, MS),
+	SETTING(stop_timeout_ms, MS),
+	SETTING(status_s, MS),
+	SETTING(grace_s, MS),
+};
+
+#define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
+
+static bool is_addr(const char *text)
+{
+	char host[INET_ADDRSTRLEN];
+	const char *colon = strrchr(text, ':');
+	struct in_addr in;
+	char *end;
+	long port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	port = strtol(colon + 1, &end, 10);
+	return end != colon + 1 && !*end && port > 0 && port <= 65535 &&
+	       inet_pton(AF_INET, host, &in) == 1;
+}
+
+static bool read_text(void *to, size_t size, const json_t *v)
+{
+	if (!json_is_string(v) || json_string_length(v) >= size)
+		return false;
+	memcpy(to, json_string_value(v), json_string_length(v) + 1);
+	return true;
+}
+
+/* Reads one value; returns NULL, or what was expected. */
+static const char *read_setting(struct cd_conf *conf, const struct setting *s,
+				const json_t *v)
+{
+	char *to = (char *)conf + s->offset;
+	json_int_t n;
+
+	switch (s->type) {
+	case SETTING_NAME:
+		if (!read_text(to, CELL_NAME_MAX, v) || !*to)
+			return "a text of 1 to 63 bytes";
+		return NULL;
+	case SETTING_OPT_ADDR:
+		if (!v || (json_is_string(v) && !json_string_length(v)))
+			return NULL;
+		/* fall through */
+	case SETTING_ADDR:
+		if (!read_text(to, CELL_ADDR_MAX, v) || !is_addr(to))
+			return "\"address:port\"";
+		return NULL;
+	case SETTING_MS:
+		n = json_is_integer(v) ? json_integer_value(v) : 0;
+		if (n < 1 || n > SETTING_NUMBER_MAX)
+			return "a whole number from 1 to 86400000";
+		*(uint32_t *)(void *)to = (uint32_t)n;
+		return NULL;
+	case SETTING_SHARE:
+		if (!json_is_number(v) || !(json_number_value(v) > 0))
+			return "a number above 0";
+		*(double *)(void *)to = json_number_value(v);
+		return NULL;
+	}
+	return "a value";
+}
+
+static bool is_known(const char *key)
+{
+	for (size_t i = 0; i < SETTING_COUNT; i++) {
+		if (!strcmp(settings[i].key, key))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Reads settings from @text. Fails with one line that names @file, the key and
+ * what was expected.
+ */
+bool conf_parse_text(struct cd_conf *conf, const char *file, const char *text,
+		     size_t len, struct err *err)
+{
+	json_error_t at;
+	json_t *body = json_loadb(text, len, JSON_REJECT_DUPLICATES, &at);
+	const char *key;
+	json_t *value;
+	bool ok = false;
+
+	*conf = (struct cd_conf){ 0 };
+	if (!json_is_object(body)) {
+		err_set(err, ERR_BAD_REQUEST, "%s:%d:%d: %s", file, at.line,
+			at.column, body ? "not an object" : at.text);
+		goto out;
+	}
+	json_object_foreach(body, key, value) {
+		if (!is_known(key)) {
+			err_set(err, ERR_BAD_REQUEST, "%s: %s: unknown key",
+				file, key);
+			goto out;
+		}
+	}
+	for (size_t i = 0; i < SETTING_COUNT; i++) {
+		const struct setting *s = &settings[i];
+		const json_t *v = json_object_get(body, s->key);
+		const char *expected = read_setting(conf, s, v);
+
+		if (expected) {
+			err_set(err, ERR_BAD_REQUEST, "%s: %s: %sexpected %s",
+				file, s->key, v ? "" : "missing, ", expected);
+			goto out;
+		}
+	}
+	if (conf->lease_ms > conf->hold_max_ms) {
+		err_set(err, ERR_BAD_REQUEST,
+			"%s: lease_ms: expected at most hold_max_ms (%u)", file,
+			conf->hold_max_ms);
+		goto out;
+	}
+	ok = true;
+out:
+	json_decref(body);
+	return ok;
+}
+
+/* Reads the settings of @file. */
+bool conf_read(struct cd_conf *conf, const char *file, struct err *err)
+{
+	char text[16384];
+	FILE *in = fopen(file, "r");
+	size_t len;
+
+	if (!in)
+		return err_set(err, ERR_BAD_REQUEST, "%s: cannot open: %m",
+			       file);
+	len = fread(text, 1, sizeof(text), in);
+	fclose(in);
+	if (len == sizeof(text))
+		return err_set(err, ERR_BAD_REQUEST, "%s: larger than %zu bytes",
+			       file, sizeof(text));
+	return conf_parse_text(conf, file, text, len, err);
+}
--- /dev/null
+++ b/jaycelld/record.c
@@ -0,0 +1,269 @@
+/*
+ * Encoding of jobs and journal records, in msgpack. The same bytes lie in the
+ * store and travel between daemons.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "celld.h"
+
+#define RECORD_VERSION 1
+#define JOB_FIELDS 9
+#define STEP_FIELDS 13
+
+enum step_flag {
+	STEP_GANG = 1,
+	STEP_SAME_RACK = 2,
+	STEP_CHECKPOINTING = 4,
+	STEP_SPECULATIVE = 8,
+	STEP_LONG_RUNNING = 16,
+	STEP_FILLS = 32
+};
+
+static int write_buf(void *ctx, const char *data, size_t len)
+{
+	buf_append(ctx, data, len);
+	return 0;
+}
+
+static void pack_text(msgpack_packer *pk, const char *text)
+{
+	size_t len = text ? strlen(text) : 0;
+
+	msgpack_pack_str(pk, len);
+	msgpack_pack_str_body(pk, text ? text : "", len);
+}
+
+static uint32_t step_flags(const struct cell_step_spec *s)
+{
+	return (s->gang ? STEP_GANG : 0) | (s->same_rack ? STEP_SAME_RACK : 0) |
+	       (s->checkpointing ? STEP_CHECKPOINTING : 0) |
+	       (s->speculative ? STEP_SPECULATIVE : 0) |
+	       (s->long_running ? STEP_LONG_RUNNING : 0) |
+	       (s->fills ? STEP_FILLS : 0);
+}
+
+static void pack_step(msgpack_packer *pk, const struct cell_step_spec *s)
+{
+	msgpack_pack_array(pk, STEP_FIELDS);
+	msgpack_pack_uint32(pk, s->count);
+	msgpack_pack_uint32(pk, s->need.cpu_milli);
+	msgpack_pack_uint32(pk, s->need.mem_mb);
+	msgpack_pack_uint32(pk, s->need.gpu);
+	msgpack_pack_uint32(pk, s->estimate_ms);
+	msgpack_pack_uint32(pk, s->after);
+	msgpack_pack_uint32(pk, s->anti_affinity);
+	msgpack_pack_uint32(pk, s->target_ms);
+	msgpack_pack_uint32(pk, s->may_miss);
+	msgpack_pack_uint32(pk, step_flags(s));
+	pack_text(pk, s->requires);
+	pack_text(pk, s->affinity);
+	pack_text(pk, s->image);
+}
+
+/* Appends the encoded job to @out. */
+void record_pack_job(const struct cell_job_spec *spec, struct buf *out)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, write_buf);
+	msgpack_pack_array(&pk, JOB_FIELDS);
+	msgpack_pack_uint32(&pk, RECORD_VERSION);
+	pack_text(&pk, spec->id);
+	pack_text(&pk, spec->queue);
+	pack_text(&pk, spec->payload);
+	msgpack_pack_uint64(&pk, spec->accepted_unix_ms);
+	msgpack_pack_uint32(&pk, spec->repeat_count);
+	msgpack_pack_uint64(&pk, spec->first_unix_ms);
+	msgpack_pack_uint64(&pk, spec->interval_ms);
+	msgpack_pack_array(&pk, spec->step_count);
+	for (uint32_t i = 0; i < spec->step_count; i++)
+		pack_step(&pk, &spec->steps[i]);
+}
+
+static bool get_u64(const msgpack_object *o, uint64_t *out)
+{
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return false;
+	*out = o->via.u64;
+	return true;
+}
+
+static bool get_u32(const msgpack_object *o, uint32_t *out)
+{
+	uint64_t v;
+
+	if (!get_u64(o, &v) || v > UINT32_MAX)
+		return false;
+	*out = (uint32_t)v;
+	return true;
+}
+
+static bool get_text(const msgpack_object *o, char *out, size_t size)
+{
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
+		return false;
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+	return true;
+}
+
+static bool is_array(const msgpack_object *o, uint32_t size)
+{
+	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size == size;
+}
+
+static bool unpack_step(const msgpack_object *o, struct cell_step_spec *s)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	uint32_t flags;
+
+	if (!is_array(o, STEP_FIELDS) || !get_u32(&f[0], &s->count) ||
+	    !s->count || s->count > CELL_TASKS_MAX ||
+	    !get_u32(&f[1], &s->need.cpu_milli) ||
+	    !get_u32(&f[2], &s->need.mem_mb) || !get_u32(&f[3], &s->need.gpu) ||
+	    !get_u32(&f[4], &s->estimate_ms) || !get_u32(&f[5], &s->after) ||
+	    !get_u32(&f[6], &s->anti_affinity) ||
+	    !get_u32(&f[7], &s->target_ms) || !get_u32(&f[8], &s->may_miss) ||
+	    !get_u32(&f[9], &flags) ||
+	    !get_text(&f[10], s->requires, sizeof(s->requires)) ||
+	    !get_text(&f[11], s->affinity, sizeof(s->affinity)) ||
+	    !get_text(&f[12], s->image, sizeof(s->image)))
+		return false;
+	s->gang = flags & STEP_GANG;
+	s->same_rack = flags & STEP_SAME_RACK;
+	s->checkpointing = flags & STEP_CHECKPOINTING;
+	s->speculative = flags & STEP_SPECULATIVE;
+	s->long_running = flags & STEP_LONG_RUNNING;
+	s->fills = flags & STEP_FILLS;
+	return true;
+}
+
+static bool unpack_job(const msgpack_object *o, struct cell_job_spec *spec)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	const msgpack_object *steps;
+	uint32_t version;
+
+	if (!is_array(o, JOB_FIELDS) || !get_u32(&f[0], &version) ||
+	    version != RECORD_VERSION ||
+	    !get_text(&f[1], spec->id, sizeof(spec->id)) ||
+	    !get_text(&f[2], spec->queue, sizeof(spec->queue)) ||
+	    f[3].type != MSGPACK_OBJECT_STR ||
+	    !get_u64(&f[4], &spec->accepted_unix_ms) ||
+	    !get_u32(&f[5], &spec->repeat_count) ||
+	    !get_u64(&f[6], &spec->first_unix_ms) ||
+	    !get_u64(&f[7], &spec->interval_ms))
+		return false;
+	steps = &f[8];
+	if (steps->type != MSGPACK_OBJECT_ARRAY || !steps->via.array.size ||
+	    steps->via.array.size > CELL_STEPS_MAX)
+		return false;
+	spec->payload = strndup(f[3].via.str.ptr, f[3].via.str.size);
+	spec->steps = xcalloc(steps->via.array.size, sizeof(*spec->steps));
+	spec->step_count = steps->via.array.size;
+	for (uint32_t i = 0; i < spec->step_count; i++) {
+		if (!unpack_step(&steps->via.array.ptr[i], &spec->steps[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Decodes a job, for cell_job_spec_free(); returns false if it is malformed. */
+bool record_unpack_job(const char *data, size_t len,
+		       struct cell_job_spec *spec)
+{
+	msgpack_unpacked unpacked;
+	bool ok;
+
+	*spec = (struct cell_job_spec){ 0 };
+	msgpack_unpacked_init(&unpacked);
+	ok = msgpack_unpack_next(&unpacked, data, len, NULL) ==
+		     MSGPACK_UNPACK_SUCCESS &&
+	     unpack_job(&unpacked.data, spec);
+	msgpack_unpacked_destroy(&unpacked);
+	if (!ok)
+		cell_job_spec_free(spec);
+	return ok;
+}
+
+/* Appends one encoded journal record to @out. */
+void record_pack(const struct cell_record *record, struct buf *out)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, write_buf);
+	msgpack_pack_array(&pk, 5);
+	msgpack_pack_uint32(&pk, record->kind);
+	switch (record->kind) {
+	case CELL_RECORD_END:
+		pack_text(&pk, record->task);
+		break;
+	case CELL_RECORD_CANCEL:
+		pack_text(&pk, record->job);
+		break;
+	default:
+		pack_text(&pk, record->minion);
+		break;
+	}
+	msgpack_pack_uint64(&pk, record->run);
+	msgpack_pack_uint32(&pk, record->end);
+	pack_text(&pk, record->kind == CELL_RECORD_END ? record->saved :
+							 record->addr);
+}
+
+/* Appends a batch of records that were encoded one after the other. */
+void record_pack_batch(const struct buf *records, uint32_t count,
+		       struct buf *out)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, write_buf);
+	msgpack_pack_array(&pk, count);
+	buf_append(out, records->data, records->len);
+}
+
+static bool replay_row(const msgpack_object *o, struct cell *cell)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	char subject[CELL_NAME_MAX];
+	char detail[CELL_PAYLOAD_MAX];
+	struct cell_record record = { 0 };
+	uint32_t kind;
+	uint32_t end;
+
+	if (!is_array(o, 5) || !get_u32(&f[0], &kind) ||
+	    kind >= CELL_RECORD_KINDS ||
+	    !get_text(&f[1], subject, sizeof(subject)) ||
+	    !get_u64(&f[2], &record.run) || !get_u32(&f[3], &end) ||
+	    end >= CELL_ENDS || !get_text(&f[4], detail, sizeof(detail)))
+		return false;
+	record.kind = (enum cell_record_kind)kind;
+	record.end = (enum cell_end)end;
+	record.job = subject;
+	record.task = subject;
+	record.minion = subject;
+	record.saved = detail;
+	record.addr = detail;
+	cell_replay(cell, &record);
+	return true;
+}
+
+/* Applies a batch to @cell; returns false if a record is malformed. */
+bool record_replay_batch(const char *data, size_t len, struct cell *cell)
+{
+	msgpack_unpacked unpacked;
+	bool ok;
+
+	msgpack_unpacked_init(&unpacked);
+	ok = msgpack_unpack_next(&unpacked, data, len, NULL) ==
+		     MSGPACK_UNPACK_SUCCESS &&
+	     unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+	for (uint32_t i = 0; ok && i < unpacked.data.via.array.size; i++)
+		ok = replay_row(&unpacked.data.via.array.ptr[i], cell);
+	msgpack_unpacked_destroy(&unpacked);
+	return ok;
+}
