Dispose of connection pools in a later turn of the loop

Cause: h2o returns the connection of an exchange to its pool after the callback that ends the exchange, but the pool was released inside that callback when another exchange had timed out and retired it. Daemons ended with a segmentation fault whenever calls to one address timed out beside others. The test fails under the sanitizers without the change (a connection returned to released memory).

--- a/common/httpc.c
+++ b/common/httpc.c
@@ -60,6 +60,7 @@
 	uint32_t free_count;
 	uint32_t open_count;
 	uint64_t bytes;
+	struct timer sweep; /* disposes of retired pools */
 };
 
 static void receiver_ignore(h2o_multithread_receiver_t *receiver,
@@ -69,6 +70,8 @@
 	(void)messages;
 }
 
+static void on_sweep(struct timer *timer);
+
 /* Returns a client whose callbacks run on @loop. */
 struct httpc *httpc_new(struct loop *loop)
 {
@@ -77,6 +80,7 @@
 		h2o_multithread_create_queue(loop_h2o(loop));
 
 	client->loop = loop;
+	client->sweep = (struct timer){ .fn = on_sweep, .ctx = client };
 	h2o_multithread_register_receiver(queue, &client->receiver,
 					  receiver_ignore);
 	h2o_timeout_init(loop_h2o(loop), &client->io_timeout,
@@ -129,17 +133,32 @@
 	return pool;
 }
 
-static void pool_dispose_if_unused(struct httpc *client, struct pool *pool)
+static void on_sweep(struct timer *timer)
 {
+	struct httpc *client = timer->ctx;
 	struct pool **link = &client->pools;
 
-	if (!pool->retired || pool->users)
-		return;
-	while (*link != pool)
-		link = &(*link)->next;
-	*link = pool->next;
-	h2o_socketpool_dispose(&pool->sockets);
-	free(pool);
+	while (*link) {
+		struct pool *pool = *link;
+
+		if (!pool->retired || pool->users) {
+			link = &pool->next;
+			continue;
+		}
+		*link = pool->next;
+		h2o_socketpool_dispose(&pool->sockets);
+		free(pool);
+	}
+}
+
+/*
+ * Disposes of the pool in a later turn of the loop: h2o returns the connection
+ * of an exchange to its pool only after the callback that ends the exchange.
+ */
+static void pool_dispose_if_unused(struct httpc *client, struct pool *pool)
+{
+	if (pool->retired && !pool->users)
+		timer_start(client->loop, &client->sweep, 0);
 }
 
 /*
--- /dev/null
+++ b/tests/httpc_test.cc
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "httpc.h"
+#include "httpd.h"
+}
+
+namespace {
+
+struct Fixture {
+	struct loop *loop = loop_new();
+	struct httpc *client = httpc_new(loop);
+	struct httpd *server = nullptr;
+	struct timer timer = {};
+	uint32_t held = 0;
+	std::vector<std::string> log;
+	std::string addr;
+
+	static void on_request(void *ctx, const struct httpd_request *request)
+	{
+		auto *f = static_cast<Fixture *>(ctx);
+
+		if (std::string(request->path) != "/later")
+			return;
+		f->held = request->handle;
+		timer_start(f->loop, &f->timer, 150);
+	}
+
+	static void on_timer(struct timer *timer)
+	{
+		auto *f = static_cast<Fixture *>(timer->ctx);
+
+		httpd_reply(f->server, f->held, 200, "text/plain", nullptr, "x",
+			    1);
+	}
+
+	static void on_done(void *ctx, uint32_t ref, struct httpc_response *r)
+	{
+		auto *f = static_cast<Fixture *>(ctx);
+
+		f->log.push_back(std::to_string(ref) + ":" +
+				 std::to_string(r->status));
+	}
+
+	static void on_stop(struct timer *timer)
+	{
+		loop_stop(static_cast<struct loop *>(timer->ctx));
+	}
+
+	void send(uint32_t ref, const char *path, uint32_t timeout_ms)
+	{
+		struct httpc_request request = {};
+
+		request.addr = addr.c_str();
+		request.method = "GET";
+		request.path = path;
+		request.timeout_ms = timeout_ms;
+		request.done = on_done;
+		request.ctx = this;
+		request.ref = ref;
+		httpc_send(client, &request);
+	}
+
+	void run(uint32_t ms)
+	{
+		struct timer stop = {};
+
+		stop.fn = on_stop;
+		stop.ctx = loop;
+		timer_start(loop, &stop, ms);
+		loop_run(loop);
+	}
+};
+
+} // namespace
+
+/*
+ * Guards against the release of a connection pool while the library still
+ * returns the connection of its last exchange to it: daemons crashed when one
+ * call to an address timed out and another one was answered after it.
+ */
+TEST(Httpc, AnswerAfterTheTimeoutOfAnotherCall)
+{
+	Fixture f;
+	struct httpd_settings settings = {};
+	struct err err = {};
+
+	settings.addr = "127.0.0.1:0";
+	settings.max_body = 1000;
+	settings.handler = Fixture::on_request;
+	settings.ctx = &f;
+	f.timer.fn = Fixture::on_timer;
+	f.timer.ctx = &f;
+	f.server = httpd_new(f.loop, &settings, &err);
+	ASSERT_NE(f.server, nullptr) << err.text;
+	f.addr = "127.0.0.1:" + std::to_string(httpd_port(f.server));
+	f.send(1, "/later", 5000);
+	f.send(2, "/never", 50);
+	f.run(400);
+	ASSERT_EQ(f.log.size(), 2U);
+	EXPECT_EQ(f.log[0], "2:0");
+	EXPECT_EQ(f.log[1], "1:200");
+	f.send(3, "/later", 5000);
+	f.run(400);
+	EXPECT_EQ(f.log.back(), "3:200");
+}
