--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -84,6 +84,7 @@
 	struct cell_res held;
 	uint64_t sent_ms;
 	uint64_t acked_ms; /* 0: no answer yet */
+	bool foreign; /* its job is not known */
 	bool stopping;
 	bool stop_in_flight;
 	uint64_t stop_after_ms; /* next attempt */
@@ -198,6 +199,8 @@
 				 const struct cell_task_name *name);
 struct cell_task *cell_task_find(const struct cell *cell, const char *task,
 				 struct cell_step **step);
+const struct cell_step_spec *cell_step_spec_find(const struct cell *cell,
+						 const char *task);
 void cell_step_name(const struct cell_step *step, uint32_t task,
 		    char out[CELL_TASK_MAX]);
 void cell_job_settle(struct cell *cell, struct cell_job *job, uint64_t now_ms);
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -107,6 +107,21 @@
 	return &(*step)->tasks[name.index];
 }
 
+/* Returns what the step of a task asks for, also after its job has ended. */
+const struct cell_step_spec *cell_step_spec_find(const struct cell *cell,
+						 const char *task)
+{
+	struct cell_task_name name;
+	const struct cell_job *job;
+
+	if (!cell_task_parse(task, &name))
+		return NULL;
+	job = cell_job_find(cell, name.job);
+	if (!job || name.step >= job->spec.step_count)
+		return NULL;
+	return &job->spec.steps[name.step];
+}
+
 void cell_step_name(const struct cell_step *step, uint32_t task,
 		    char out[CELL_TASK_MAX])
 {
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -19,6 +19,8 @@
 #define UNLISTED_MS 3000
 /* Between two attempts to stop a run. */
 #define STOP_RETRY_MS 300
+/* A run whose job stays unknown this long is stopped, in ms. */
+#define FOREIGN_MS 5000
 /* Weight of earlier ends in the failure score of a minion. */
 #define FAIL_DECAY 0.7
 /* Three failures in a row with no success between them. */
@@ -379,19 +381,42 @@
 			now_ms);
 }
 
+/*
+ * What a listed run takes: as its job says, also when that job has ended. A run
+ * of a job that is not known may take all that is left.
+ */
+static struct cell_res listed_need(const struct cell *cell,
+				   const struct cell_minion *m,
+				   const char *task, bool *known)
+{
+	const struct cell_step_spec *spec = cell_step_spec_find(cell, task);
+	struct cell_res rest = m->info.capacity;
+
+	*known = spec != NULL;
+	if (spec)
+		return cell_step_held(spec);
+	rest.cpu_milli -= m->held.cpu_milli;
+	rest.mem_mb -= m->held.mem_mb;
+	rest.gpu -= m->held.gpu;
+	return rest;
+}
+
 /* A run that this term did not start, or that it believed to have ended. */
 static void adopt(struct cell *cell, struct cell_minion *m,
 		  const struct cell_running *row, uint64_t now_ms)
 {
+	bool known;
+	struct cell_res held = listed_need(cell, m, row->task, &known);
 	struct cell_step *step;
 	struct cell_task *task = cell_task_find(cell, row->task, &step);
-	struct cell_res none = { 0 };
-	struct cell_res held = task ? cell_step_held(step->spec) : none;
 	struct cell_run *run;
 
 	run = cell_run_add(m, row->task, row->run, &held, now_ms);
 	run->acked_ms = now_ms;
 	run->seen = true;
+	run->foreign = !known;
+	if (!known)
+		return;
 	if (task && task->state == CELL_TASK_READY &&
 	    step->job->final == CELL_JOB_UNKNOWN && row->run > task->ended_run &&
 	    row->run >= task->run) {
@@ -419,10 +444,17 @@
 	struct cell_step *step;
 	struct cell_task *task = cell_task_find(cell, row->task, &step);
 
+	if (run && run->foreign &&
+	    cell_step_spec_find(cell, row->task)) {
+		cell_run_drop(cell, m, (uint32_t)(run - m->runs));
+		run = NULL;
+	}
 	if (!run) {
 		adopt(cell, m, row, now_ms);
 	} else {
 		run->seen = true;
+		if (run->foreign && now_ms > run->sent_ms + FOREIGN_MS)
+			cell_run_stop(cell, m, run, now_ms);
 		if (!run->acked_ms)
 			run->acked_ms = now_ms;
 	}
--- a/lib/cell/term.c
+++ b/lib/cell/term.c
@@ -6,6 +6,8 @@
 #define SILENCE_MS 500
 /* The store has served a healthy holder within this time, in ms. */
 #define STORE_AGE_MS 700
+/* A new holder needs this long for its lease and its connections, in ms. */
+#define NEW_TERM_MS 1200
 /*
  * A host that refuses connections may only be cut off from this daemon. Terms
  * change at most this often for that reason, in ms.
@@ -22,6 +24,7 @@
 const char *term_reason(const struct term_view *view)
 {
 	bool heard = view->linked && view->silent_ms < SILENCE_MS;
+	bool lapsed = view->live_missing && view->term_age_ms > NEW_TERM_MS;
 
 	if (!view->store_ok || view->draining)
 		return NULL;
@@ -31,11 +34,11 @@
 		return "own earlier term";
 	if (view->released)
 		return "released";
-	if (view->live_missing && !heard)
+	if (lapsed && !heard)
 		return "lease ended";
-	if (view->live_missing && !view->holder_valid)
+	if (lapsed && !view->holder_valid)
 		return "holder lost its right";
-	if (view->live_missing && view->holder_store_age_ms > STORE_AGE_MS)
+	if (lapsed && view->holder_store_age_ms > STORE_AGE_MS)
 		return "holder cut off from the store";
 	if (view->refused && !view->linked &&
 	    view->term_age_ms > REFUSED_TERM_MS)
