Count the validity of a ticket from its answer

Ruled out: room (half of the cores were free) and the wait after a takeover. Also, jobs that are read back after a takeover get no line each.

--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -428,6 +428,9 @@
 		h->jobs_poll_ms = loop_now_ms() + READ_RETRY_MS;
 		return;
 	}
+	ev("recovery-page", "phase=%u count=%u more=%d as_of=%llu took_ms=%u",
+	   h->phase, reply->count, reply->more,
+	   (unsigned long long)reply->as_of, reply->took_ms);
 	if (reply->count)
 		snprintf(h->after, sizeof(h->after), "%s",
 			 reply->items[reply->count - 1].key);
--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -25,6 +25,8 @@
 #define BACKLOG_MS 1500
 /* Tickets are renewed when they are valid for less than this, in ms. */
 #define RENEW_MS 200
+/* The answer may have been on its way for this long, in ms. */
+#define ANSWER_TRAVEL_MS 40
 /* Next question after one that was not answered, in ms. */
 #define ASK_RETRY_MS 100
 
@@ -400,7 +402,8 @@
 		ticket = ticket_of(cell, m, good, count);
 		if (ticket)
 			grant(cell, step, m, ticket,
-			      q->sent_ms + queue->advice.valid_ms);
+			      now_ms + queue->advice.valid_ms -
+				      ANSWER_TRAVEL_MS);
 		else if (!cell_grant_find(step, m))
 			set_refused(step, m, cell->minion_count);
 		taken += ticket != NULL;
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -260,6 +260,13 @@
 	return longest;
 }
 
+static uint64_t job_age_ms(const struct cell_job *job, uint64_t unix_ms)
+{
+	uint64_t at = job->spec.accepted_unix_ms;
+
+	return unix_ms > at ? unix_ms - at : 0;
+}
+
 /*
  * Takes a job that is stored, and owns what @spec points to from then on.
  * Returns false, and releases @spec, if the job is known already.
@@ -291,14 +298,11 @@
 	HASH_ADD_STR(cell->jobs, spec.id, job);
 	cell->live_jobs++;
 	cell->stats.jobs++;
-	cell_event(cell,
-		   &(struct cell_event){
-			   .what = "job-known",
-			   .job = job->spec.id,
-			   .detail = cell->replaying ? "inherited" : "new",
-			   .age_ms = unix_ms > job->spec.accepted_unix_ms ?
-					     unix_ms - job->spec.accepted_unix_ms :
-					     0 });
+	if (!cell->replaying)
+		cell_event(cell, &(struct cell_event){
+					 .what = "job-known",
+					 .job = job->spec.id,
+					 .age_ms = job_age_ms(job, unix_ms) });
 	if (!job->spec.repeat_count)
 		occurrence_add(cell, job, 0, now_ms);
 	else
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -149,3 +149,27 @@
 	proof.store_ok = true;
 	EXPECT_FALSE(term_valid(&proof));
 }
+
+/*
+ * Guards against tickets that are taken to run out before their step can use
+ * them: a ticket is valid from the answer on, however long the question took.
+ */
+TEST(Advice, ATicketIsValidFromItsAnswerOn)
+{
+	CellFixture f;
+	struct cell_queue_spec *q = f.queue("q", 0, 2);
+	struct cell_ticket good = { "m0", "ticket" };
+
+	q->advice.needed = true;
+	q->advice.decide_ms = 2000;
+	q->advice.valid_ms = 2000;
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.questions.size(), 1U);
+	f.now += 2050;
+	cell_on_advice(f.cell, f.questions[0].handle, true, &good, 1, f.now);
+	f.tick();
+	EXPECT_EQ(f.starts.size(), 1U);
+}
