--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 LIB = $(B)/libjayspoke.a
 COMMON = $(B)/libcommon.a
 PACKAGES_LIB = $(B)/libpackages.a
+CELLD = $(B)/libcelld.a
 PROGRAMS = $(if $(wildcard jayspoked/main.c),$(B)/jayspoked) \
 	$(if $(wildcard jayspoke/main.c),$(B)/jayspoke) $(B)/jaycelld \
 	$(foreach f,$(FAKES),$(if $(wildcard fakes/$(f).c),$(B)/$(f)))
@@ -61,13 +62,12 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-ARCHIVES = $(PACKAGES_LIB) $(COMMON) $(LIB)
+ARCHIVES = $(CELLD) $(PACKAGES_LIB) $(COMMON) $(LIB)
 
 $(B)/jayspoked: $(O)/jayspoked/main.o $(ARCHIVES)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 # Without main.c, for the tests.
-CELLD = $(B)/libcelld.a
 $(CELLD): $(call OBJ,$(filter-out jaycelld/main.c,$(CELLD_SRC)))
 	@rm -f $@
 	ar rcs $@ $^
@@ -78,7 +78,7 @@
 
 # Where the deployment looks for it.
 target/jaycelld: $(B)/jaycelld
-	cp $< $@
+	cp $< $@.new && mv $@.new $@
 
 $(B)/jayspoke: $(call OBJ,$(TOOL_SRC)) $(COMMON) $(LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
--- a/jaycelld/accept.c
+++ b/jaycelld/accept.c
@@ -15,9 +15,18 @@
 #define RECENT_MAX 4096
 /* The final answer leaves this long before the deadline of its caller, in ms. */
 #define ANSWER_MARGIN_MS 150
-/* Unanswered jobs are handed back to their callers after this, in ms. */
-#define UNKNOWN_MS 1300
+/* How long the holder may take to store a job for this daemon, in ms. */
+#define FORWARD_MS 1300
 #define RETRY_MS 60
+/*
+ * The store counts as unavailable when all calls have failed for this long, in
+ * ms. New jobs are refused from then on without being sent, so that it is
+ * certain that they have not run.
+ */
+#define UNAVAILABLE_MS 250
+/* An unavailable store is asked this often whether it is back, in ms. */
+#define PROBE_MS 100
+#define PROBE_TIMEOUT_MS 400
 
 struct waiting {
 	char id[CELL_ID_MAX];
@@ -42,6 +51,8 @@
 	struct waiting **last;
 	struct waiting *sent; /* in the transaction in flight */
 	struct timer retry;
+	struct timer probe;
+	bool probing;
 	struct recent recent[RECENT_MAX];
 	uint32_t recent_at;
 };
@@ -151,10 +162,10 @@
 /* The store does not serve this daemon; the holder may be luckier. */
 static bool forward(struct acceptor *a, struct waiting *w, uint64_t now)
 {
-	uint64_t deadline = now + UNKNOWN_MS;
+	uint64_t deadline = now + FORWARD_MS;
 
 	if (!w->may_forward || a->d->holder || !links_up(a->d->links) ||
-	    links_holder_store_age(a->d->links) > UNKNOWN_MS)
+	    links_holder_store_age(a->d->links) > FORWARD_MS)
 		return false;
 	if (deadline + ANSWER_MARGIN_MS > w->deadline_ms)
 		deadline = w->deadline_ms - ANSWER_MARGIN_MS;
@@ -174,8 +185,7 @@
 		return;
 	if (!w->maybe_stored)
 		answer(a, w, CD_REFUSED);
-	else if (now > w->since_ms + UNKNOWN_MS ||
-		 now + ANSWER_MARGIN_MS >= w->deadline_ms)
+	else if (now + ANSWER_MARGIN_MS >= w->deadline_ms)
 		answer(a, w, CD_UNKNOWN);
 	else
 		enqueue(a, w);
@@ -198,12 +208,55 @@
 		else
 			enqueue(a, w);
 	}
-	if (failed && a->first)
+	if (failed)
 		timer_start(a->d->loop, &a->retry, RETRY_MS);
 	else
 		flush(a);
 }
 
+static bool store_unavailable(const struct acceptor *a)
+{
+	return pf_store_failing_ms(a->d->store) > UNAVAILABLE_MS;
+}
+
+static void on_probe_answer(void *ctx, const struct pf_reply *reply)
+{
+	struct acceptor *a = ctx;
+
+	a->probing = false;
+	if (reply->status >= PF_REJECTED)
+		timer_start(a->d->loop, &a->probe, PROBE_MS);
+}
+
+static void on_probe(struct timer *timer)
+{
+	struct acceptor *a = timer->ctx;
+
+	a->probing = true;
+	pf_get(a->d->store, CD_SECRET_KEY, PROBE_TIMEOUT_MS, on_probe_answer,
+	       a);
+}
+
+/* Refuses, or passes on, the jobs that have not been sent yet. */
+static void turn_away(struct acceptor *a)
+{
+	struct waiting *list = a->first;
+
+	a->first = NULL;
+	a->last = &a->first;
+	while (list) {
+		struct waiting *w = list;
+
+		list = w->next;
+		if (w->maybe_stored)
+			enqueue(a, w);
+		else
+			not_stored(a, w, PF_REJECTED);
+	}
+	if (!a->probing && !a->probe.heap_pos)
+		timer_start(a->d->loop, &a->probe, 0);
+}
+
 static bool in_group(const struct waiting *group, const char *id)
 {
 	for (; group; group = group->next) {
@@ -220,6 +273,8 @@
 	struct waiting **tail = &a->sent;
 	uint32_t n = 0;
 
+	if (store_unavailable(a))
+		turn_away(a);
 	if (a->sent || !a->first || a->retry.heap_pos)
 		return;
 	/* The other one with the same id waits for the next transaction. */
@@ -278,5 +333,6 @@
 	a->d = d;
 	a->last = &a->first;
 	a->retry = (struct timer){ .fn = on_retry, .ctx = a };
+	a->probe = (struct timer){ .fn = on_probe, .ctx = a };
 	return a;
 }
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -130,6 +130,7 @@
 			 const struct cell_question *question);
 void links_release(struct links *links);
 uint32_t links_followers(const struct links *links);
+uint32_t links_missing(const struct links *links, uint64_t now_ms);
 void links_announce(struct links *links);
 bool links_store_unreachable(const struct links *links, uint64_t now_ms);
 bool links_store_seen(const struct links *links, uint64_t term,
--- a/jaycelld/entry.c
+++ b/jaycelld/entry.c
@@ -16,7 +16,11 @@
 #define ANSWER_MARGIN_MS 150
 /* A missing queue is believed from a configuration of at most this age. */
 #define CONFIG_AGE_MS 700
-#define RETRY_AFTER "Retry-After: 1\r\n"
+/* Callers may return after this, in s; patient ones give way to quick ones. */
+#define RETRY_QUICK_S 1
+#define RETRY_PATIENT_S 2
+/* Queues with a longer objective are patient, in ms. */
+#define QUICK_SLO_MS 1000
 #define JSON_TYPE "application/json"
 
 struct entry {
@@ -40,6 +44,7 @@
 	uint64_t deadline_ms;
 	char method[8];
 	char id[CELL_ID_MAX];
+	uint32_t retry_s;
 	char *host;
 	char *path;
 	struct buf body;
@@ -73,8 +78,10 @@
 {
 	json_t *body = json_pack("{s:s}", "error", why);
 	char *text = json_dumps(body, JSON_COMPACT);
+	char headers[32];
 
-	reply(c, status, status == 503 ? RETRY_AFTER : NULL, text);
+	snprintf(headers, sizeof(headers), "Retry-After: %u\r\n", c->retry_s);
+	reply(c, status, status == 503 ? headers : NULL, text);
 	free(text);
 	json_decref(body);
 }
@@ -171,6 +178,8 @@
 	const char *rest = c->path + strlen(queue->prefix);
 	uint64_t deadline = c->deadline_ms - ANSWER_MARGIN_MS;
 
+	if (queue->slo_ms >= QUICK_SLO_MS)
+		c->retry_s = RETRY_PATIENT_S;
 	if (!*rest && !strcmp(c->method, "GET")) {
 		asks_send(asks, CD_OP_PENDING, queue->name, NULL, deadline,
 			  on_pending, c);
@@ -240,6 +249,7 @@
 	c->since_ms = loop_now_ms();
 	c->deadline_ms = deadline_of(request, c->since_ms);
 	snprintf(c->method, sizeof(c->method), "%s", request->method);
+	c->retry_s = RETRY_QUICK_S;
 	c->host = strdup(request->host);
 	c->path = strdup(request->path);
 	if (request->body_len)
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -25,7 +25,10 @@
 /* A look that waits for an end answers at least this often, in ms. */
 #define LOOK_WAIT_MS 1500
 #define MINIONS_POLL_MS 600
-/* Jobs that other daemons stored are looked for this often, in ms. */
+/*
+ * Jobs that other daemons stored and did not tell are looked for this often, in
+ * ms: soon while a daemon may be cut off from this one.
+ */
 #define JOBS_POLL_MS 1000
 #define JOBS_POLL_SOON_MS 150
 #define LOOKUP_TIMEOUT_MS 600
@@ -507,7 +510,9 @@
 static void poll_jobs(struct holder *h, uint64_t now)
 {
 	h->jobs_polling = true;
-	h->jobs_poll_ms = now + JOBS_POLL_MS;
+	h->jobs_poll_ms = now + (links_missing(h->d->links, now) ?
+					 JOBS_POLL_SOON_MS :
+					 JOBS_POLL_MS);
 	h->calls++;
 	if (h->jobs_as_of)
 		pf_watch(h->d->store, CD_JOB_PREFIX, h->jobs_as_of, 1, on_jobs,
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -26,6 +26,8 @@
 #define STATE_VALID_MS 600
 /* The store does not serve a follower that had no answer for so long, in ms. */
 #define STORE_AGE_MS 1000
+/* A daemon that was lost longer ago is taken to be removed, in ms. */
+#define MISSING_MS 60000
 #define FOLLOWERS_MAX 512
 #define BACKLOG 256
 
@@ -40,6 +42,8 @@
 
 struct follower {
 	struct link *link; /* NULL: the slot is free */
+	char name[MSG_NAME_MAX]; /* of the latest daemon in the slot */
+	uint64_t lost_ms;	 /* when its connection was lost */
 	uint32_t generation;
 	uint64_t state_ms; /* when its latest state came */
 	uint64_t term;	   /* the latest that it has seen */
@@ -530,12 +534,35 @@
 		link_reject(link, FRAME_MALFORMED, "unexpected frame");
 }
 
+static bool is_missing(const struct follower *f, uint64_t now)
+{
+	return f->name[0] && !f->link && now < f->lost_ms + MISSING_MS;
+}
+
+/* Returns how many daemons were connected lately and are not any more. */
+uint32_t links_missing(const struct links *l, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < l->follower_count; i++)
+		n += is_missing(&l->followers[i], now_ms);
+	return n;
+}
+
 static void add_follower(struct links *l, struct link *link)
 {
+	uint64_t now = loop_now_ms();
 	uint32_t i = 0;
 
-	while (i < l->follower_count && l->followers[i].link)
+	while (i < l->follower_count && strcmp(l->followers[i].name,
+					       link->peer.id) != 0)
 		i++;
+	if (i < l->follower_count && l->followers[i].link)
+		link_close(l->followers[i].link, "replaced");
+	for (uint32_t k = 0; i == l->follower_count && k < i; k++) {
+		if (!l->followers[k].link && !is_missing(&l->followers[k], now))
+			i = k;
+	}
 	if (i == FOLLOWERS_MAX) {
 		link_close(link, "too many followers");
 		return;
@@ -544,6 +571,8 @@
 		l->follower_count++;
 	l->followers[i].generation = (l->followers[i].generation + 1) & 0xffff;
 	l->followers[i].link = link;
+	snprintf(l->followers[i].name, sizeof(l->followers[i].name), "%s",
+		 link->peer.id);
 	l->followers[i].state_ms = 0;
 	link->handle = l->followers[i].generation << 16 | (i + 1);
 	ev("follower-up", "name=%s lane=%u", link->peer.id, i + 1);
@@ -597,6 +626,7 @@
 	if (!at || l->followers[at - 1].link != link)
 		return;
 	l->followers[at - 1].link = NULL;
+	l->followers[at - 1].lost_ms = loop_now_ms();
 	ev("follower-down", "name=%s lane=%u why=\"%s\"", link->peer.id, at,
 	   reason);
 	if (l->d->holder) {
--- /dev/null
+++ b/tests/accept_test.cc
@@ -0,0 +1,177 @@
+#include <gtest/gtest.h>
+
+#include <cstdarg>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "../jaycelld/celld.h"
+}
+
+/* Stand-ins of what the acceptor talks to. */
+namespace {
+
+struct Commit {
+	std::vector<std::string> keys;
+	pf_done done;
+	void *ctx;
+};
+
+std::vector<Commit> commits;
+std::vector<std::string> forwarded;
+uint64_t failing_ms;
+bool linked;
+
+} // namespace
+
+extern "C" {
+
+void pf_commit(struct pf_store *, const struct pf_txn *txn, uint32_t,
+	       pf_done done, void *ctx)
+{
+	Commit c{ {}, done, ctx };
+
+	for (uint32_t i = 0; i < txn->put_count; i++)
+		c.keys.push_back(txn->puts[i].key);
+	commits.push_back(c);
+}
+
+void pf_get(struct pf_store *, const char *, uint32_t, pf_done, void *)
+{
+}
+
+uint64_t pf_store_failing_ms(const struct pf_store *)
+{
+	return failing_ms;
+}
+
+bool links_up(const struct links *)
+{
+	return linked;
+}
+
+uint32_t links_holder_store_age(const struct links *)
+{
+	return 0;
+}
+
+bool links_send_job(struct links *, const struct buf *)
+{
+	return linked;
+}
+
+void asks_send(struct asks *, enum cd_op, const char *text, const struct buf *,
+	       uint64_t, cd_answered, void *)
+{
+	forwarded.push_back(text);
+}
+
+void holder_job(struct holder *, const char *, size_t)
+{
+}
+
+} /* extern "C" */
+
+namespace {
+
+class Accept : public ::testing::Test {
+    protected:
+	void SetUp() override
+	{
+		commits.clear();
+		forwarded.clear();
+		failing_ms = 0;
+		linked = false;
+		d.loop = loop_new();
+		acceptor = accept_new(&d);
+	}
+
+	void add(const char *id)
+	{
+		struct buf record = buf_str("record");
+
+		accept_job(acceptor, id, &record, true, loop_now_ms() + 3000,
+			   on_done, this);
+		buf_free(&record);
+	}
+
+	static void on_done(void *ctx, enum cd_answer answer, uint32_t)
+	{
+		static_cast<Accept *>(ctx)->answers.push_back(answer);
+	}
+
+	void answer(size_t commit, enum pf_status status,
+		    std::vector<struct pf_item> items = {})
+	{
+		struct pf_reply reply = {};
+
+		reply.status = status;
+		reply.count = static_cast<uint32_t>(items.size());
+		reply.items = items.data();
+		commits[commit].done(commits[commit].ctx, &reply);
+	}
+
+	struct celld d = {};
+	struct acceptor *acceptor = nullptr;
+	std::vector<enum cd_answer> answers;
+};
+
+} // namespace
+
+/* Guards against one transaction for each job while the store is busy. */
+TEST_F(Accept, JobsThatWaitShareATransaction)
+{
+	add("a");
+	add("b");
+	add("c");
+	ASSERT_EQ(commits.size(), 1U);
+	answer(0, PF_OK);
+	ASSERT_EQ(commits.size(), 2U);
+	EXPECT_EQ(commits[1].keys.size(), 2U);
+	answer(1, PF_OK);
+	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_OK, CD_OK, CD_OK }));
+}
+
+/* Guards against a refusal of a job that an earlier, lost try has stored. */
+TEST_F(Accept, AKeyThatExistsMeansAccepted)
+{
+	add("a");
+	answer(0, PF_CONFLICT,
+	       { { "jay/job/a", nullptr, 0, 17 } });
+	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_OK }));
+}
+
+/*
+ * Guards against "not run" for a job that was sent without an answer: the store
+ * may still carry it out.
+ */
+TEST_F(Accept, ASentJobIsNeverCalledNotRun)
+{
+	add("a");
+	answer(0, PF_UNKNOWN);
+	failing_ms = 1000;
+	add("b");
+	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_REFUSED }));
+}
+
+/*
+ * Guards against jobs that are sent to a store which is known to be away:
+ * their fate would be unknown, while an unsent job can return after the outage.
+ */
+TEST_F(Accept, AnUnavailableStoreIsNotSentNewJobs)
+{
+	failing_ms = 1000;
+	add("a");
+	EXPECT_TRUE(commits.empty());
+	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_REFUSED }));
+}
+
+/* Guards against refusals by a daemon that alone is turned away. */
+TEST_F(Accept, AJobOfADaemonThatIsTurnedAwayGoesThroughTheHolder)
+{
+	linked = true;
+	add("a");
+	answer(0, PF_REJECTED);
+	EXPECT_EQ(forwarded, (std::vector<std::string>{ "a" }));
+	EXPECT_TRUE(answers.empty());
+}
