Count every failed run, and settle minions that have left

Ends are now known by their run. Ends of jobs that are not known yet are no longer observed (found by reading).

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -16,7 +16,8 @@
 
 struct cell_task {
 	uint64_t run;	    /* of the latest start, 0: none */
-	uint64_t ended_run; /* highest run whose end was handled */
+	uint64_t *ended;    /* runs whose end was handled, in any order */
+	uint32_t ended_count;
 	uint64_t progress_ms;
 	uint32_t minion;    /* of the latest start */
 	uint32_t failed_on; /* minion of the latest failure */
@@ -41,8 +42,8 @@
 	uint32_t index;
 	uint32_t left;	 /* tasks that are not done */
 	uint32_t active; /* tasks with a run */
-	uint32_t gang_fails;
-	uint64_t gang_failed_run;
+	uint64_t *gang_failed; /* runs of the gang that failed */
+	uint32_t gang_failed_count;
 	uint64_t opened_ms;
 	bool open;    /* the steps before it are done */
 	bool waiting; /* in the list of ready steps */
@@ -105,6 +106,7 @@
 	bool inherited; /* an earlier term may have started work on it */
 	bool failing;	/* the latest call failed */
 	bool looking;
+	uint64_t unknown_ms; /* an end of an unknown job was listed, 0: none */
 	uint64_t look_at_ms;
 	uint64_t settle_ms; /* of an inherited minion that stays silent */
 	uint64_t born_unix_ms;
@@ -165,6 +167,7 @@
 	uint64_t started_ms;
 	bool valid;
 	bool minions_listed;
+	uint64_t first_listed_ms;
 	bool replaying;
 	bool dirty;
 	uint64_t next_run;
@@ -211,6 +214,7 @@
 uint32_t cell_step_todo(const struct cell_step *step);
 void cell_task_release(struct cell *cell, const char *task, uint64_t run,
 		       uint64_t now_ms);
+bool cell_task_ended(const struct cell_task *task, uint64_t run);
 bool cell_end_apply(struct cell *cell, const struct cell_ended *end,
 		    uint32_t minion, uint64_t now_ms);
 void cell_job_stop_runs(struct cell *cell, struct cell_job *job,
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -227,8 +227,11 @@
 		for (uint32_t s = 0; s < job->spec.step_count; s++) {
 			struct cell_step *step = &job->occurrences[i].steps[s];
 
-			for (uint32_t t = 0; t < step->spec->count; t++)
+			for (uint32_t t = 0; t < step->spec->count; t++) {
 				free(step->tasks[t].saved);
+				free(step->tasks[t].ended);
+			}
+			free(step->gang_failed);
 			free(step->tasks);
 			free(step->grants);
 			free(step->refused);
@@ -479,13 +482,29 @@
 		job->final = CELL_JOB_COMPLETED;
 }
 
+/* Another run of the task is not needed any more. */
+static void stop_run(struct cell *cell, struct cell_step *step,
+		     struct cell_task *task, uint64_t now_ms)
+{
+	struct cell_minion *m = cell->minions[task->minion];
+	char name[CELL_TASK_MAX];
+	struct cell_run *run;
+
+	cell_step_name(step, (uint32_t)(task - step->tasks), name);
+	run = cell_run_find(m, name, task->run);
+	if (run)
+		cell_run_stop(cell, m, run, now_ms);
+}
+
 static void task_done(struct cell *cell, struct cell_step *step,
-		      struct cell_task *task, uint64_t now_ms)
+		      struct cell_task *task, uint64_t run, uint64_t now_ms)
 {
 	if (task->state == CELL_TASK_DONE || step->spec->long_running)
 		return;
 	if (task->state == CELL_TASK_ACTIVE)
 		step->active--;
+	if (task->state == CELL_TASK_ACTIVE && task->run != run)
+		stop_run(cell, step, task, now_ms);
 	task->state = CELL_TASK_DONE;
 	step->left--;
 	if (!step->left)
@@ -493,23 +512,45 @@
 }
 
 /* The one end of a gang that is done stands for all its members. */
-static void gang_done(struct cell *cell, struct cell_step *step,
+static void gang_done(struct cell *cell, struct cell_step *step, uint64_t run,
 		      uint64_t now_ms)
 {
 	for (uint32_t i = 0; i < step->spec->count && step->left; i++)
-		task_done(cell, step, &step->tasks[i], now_ms);
+		task_done(cell, step, &step->tasks[i], run, now_ms);
+}
+
+static bool has_run(const uint64_t *runs, uint32_t count, uint64_t run)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (runs[i] == run)
+			return true;
+	}
+	return false;
+}
+
+static void add_run(uint64_t **runs, uint32_t *count, uint64_t run)
+{
+	*runs = realloc(*runs, (*count + 1) * sizeof(**runs));
+	if (!*runs)
+		abort();
+	(*runs)[(*count)++] = run;
 }
 
+/* Returns true if the end of that run was handled. */
+bool cell_task_ended(const struct cell_task *task, uint64_t run)
+{
+	return has_run(task->ended, task->ended_count, run);
+}
+
+/* Returns the failed attempts; several members of a gang count as one. */
 static uint32_t count_failure(struct cell_step *step, struct cell_task *task,
 			      uint64_t run)
 {
 	if (!step->spec->gang)
 		return ++task->fails;
-	if (step->gang_failed_run != run) {
-		step->gang_failed_run = run;
-		step->gang_fails++;
-	}
-	return step->gang_fails;
+	if (!has_run(step->gang_failed, step->gang_failed_count, run))
+		add_run(&step->gang_failed, &step->gang_failed_count, run);
+	return step->gang_failed_count;
 }
 
 static void task_failed(struct cell *cell, struct cell_step *step,
@@ -555,9 +596,9 @@
 	struct cell_step *step;
 	struct cell_task *task = cell_task_find(cell, end->task, &step);
 
-	if (!task || end->run <= task->ended_run)
+	if (!task || cell_task_ended(task, end->run))
 		return false;
-	task->ended_run = end->run;
+	add_run(&task->ended, &task->ended_count, end->run);
 	if (end->run > task->run)
 		task->run = end->run;
 	step->job->begun = true;
@@ -565,9 +606,9 @@
 		step->job->state = CELL_JOB_RUNNING;
 	save_checkpoint(step, task, end->saved);
 	if (end->end == CELL_END_DONE && step->spec->gang)
-		gang_done(cell, step, now_ms);
+		gang_done(cell, step, end->run, now_ms);
 	else if (end->end == CELL_END_DONE)
-		task_done(cell, step, task, now_ms);
+		task_done(cell, step, task, end->run, now_ms);
 	else if (end->end == CELL_END_FAILED)
 		task_failed(cell, step, task, end->run, minion, now_ms);
 	cell_task_release(cell, end->task, end->run, now_ms);
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -17,9 +17,14 @@
 #define LEASE_MARGIN_MS 60
 /* An entry that is missing longer than this names a minion that has left. */
 #define UNLISTED_MS 3000
+/*
+ * The platform lists every live minion about 2 s after its store is back, so a
+ * minion of an earlier term that is missing longer has gone, in ms.
+ */
+#define GONE_MS 2500
 /* Between two attempts to stop a run. */
 #define STOP_RETRY_MS 300
-/* A run whose job stays unknown this long is stopped, in ms. */
+/* A job that stays unknown this long does not exist any more, in ms. */
 #define FOREIGN_MS 5000
 /* Weight of earlier ends in the failure score of a minion. */
 #define FAIL_DECAY 0.7
@@ -288,6 +293,8 @@
 		}
 		merge_info(cell, m, &infos[i]);
 	}
+	if (!cell->minions_listed)
+		cell->first_listed_ms = now_ms;
 	cell->minions_listed = true;
 	cell->dirty = true;
 }
@@ -381,6 +388,29 @@
 			now_ms);
 }
 
+/*
+ * Takes the new ends in their order. The end of a job that is not known yet
+ * holds up the ones after it: once observed, the minion would forget it.
+ */
+static void take_ends(struct cell *cell, struct cell_minion *m,
+		      const struct cell_report *report, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < report->ended_count; i++) {
+		const struct cell_ended *end = &report->ended[i];
+
+		if (end->number <= m->seen)
+			continue;
+		if (!cell_step_spec_find(cell, end->task)) {
+			if (!m->unknown_ms)
+				m->unknown_ms = now_ms;
+			if (now_ms < m->unknown_ms + FOREIGN_MS)
+				return;
+		}
+		m->unknown_ms = 0;
+		take_end(cell, m, end, now_ms);
+	}
+}
+
 /*
  * What a listed run takes: as its job says, also when that job has ended. A run
  * of a job that is not known may take all that is left.
@@ -418,7 +448,8 @@
 	if (!known)
 		return;
 	if (task && task->state == CELL_TASK_READY &&
-	    step->job->final == CELL_JOB_UNKNOWN && row->run > task->ended_run &&
+	    step->job->final == CELL_JOB_UNKNOWN &&
+	    !cell_task_ended(task, row->run) &&
 	    row->run >= task->run) {
 		task->state = CELL_TASK_ACTIVE;
 		task->run = row->run;
@@ -530,17 +561,14 @@
 	m->anchor_ms = now_ms;
 	for (uint32_t i = 0; i < m->run_count; i++)
 		m->runs[i].seen = false;
-	for (uint32_t i = 0; i < report->ended_count; i++) {
-		if (report->ended[i].number > m->seen)
-			take_end(cell, m, &report->ended[i], now_ms);
-	}
+	take_ends(cell, m, report, now_ms);
 	for (uint32_t i = 0; i < report->running_count; i++)
 		take_running(cell, m, &report->running[i], now_ms);
 	drop_missing(cell, m, sent_ms, now_ms);
 	if (!m->reached)
 		first_report(cell, m, now_ms);
 	m->look_at_ms = now_ms;
-	if (m->observed != m->seen)
+	if (m->observed != m->seen || m->unknown_ms)
 		m->look_at_ms += UNRECORDED_LOOK_MS;
 }
 
@@ -662,6 +690,9 @@
 		settle(cell, m, "lease ended", now_ms);
 	if (m->inherited && now_ms >= m->settle_ms)
 		settle(cell, m, "leases of earlier terms ended", now_ms);
+	else if (m->inherited && !m->listed && cell->minions_listed &&
+		 now_ms > cell->first_listed_ms + GONE_MS)
+		settle(cell, m, "not listed", now_ms);
 	if (!m->listed && cell->minions_listed && !m->run_count &&
 	    !m->inherited && now_ms > m->unlisted_ms + UNLISTED_MS) {
 		if (m->enrolled)
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -36,16 +36,18 @@
 	return a < b ? a : b;
 }
 
-static uint32_t tasks_of_step(const struct cell_minion *m,
-			      const struct cell_step *step)
+/* Runs of the step on the minion, with those that are being stopped. */
+static uint32_t runs_of_step(const struct cell_minion *m,
+			     const struct cell_step *step)
 {
+	char prefix[CELL_TASK_MAX];
+	size_t len;
 	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].state == CELL_TASK_ACTIVE &&
-		    step->tasks[i].minion == m->handle)
-			n++;
-	}
+	cell_step_name(step, 0, prefix);
+	len = strlen(prefix) - 1;
+	for (uint32_t i = 0; i < m->run_count; i++)
+		n += !strncmp(m->runs[i].task, prefix, len);
 	return n;
 }
 
@@ -61,7 +63,7 @@
 	n = min_u32(n, fit_of(cap->mem_mb, m->held.mem_mb, need.mem_mb));
 	n = min_u32(n, fit_of(cap->gpu, m->held.gpu, need.gpu));
 	if (spec->anti_affinity) {
-		uint32_t here = tasks_of_step(m, step);
+		uint32_t here = runs_of_step(m, step);
 
 		n = min_u32(n, spec->anti_affinity > here ?
 				       spec->anti_affinity - here :
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -173,3 +173,160 @@
 	f.tick();
 	EXPECT_EQ(f.starts.size(), 1U);
 }
+
+namespace {
+
+struct cell_record enrolled_record(const char *id)
+{
+	struct cell_record record = {};
+
+	record.kind = CELL_RECORD_ENROLLED;
+	record.minion = id;
+	record.addr = "10.0.0.1:80";
+	return record;
+}
+
+} // namespace
+
+/*
+ * Guards against attempts that are forgotten after a takeover: minions are
+ * heard in any order, so the end of a later run may come first.
+ */
+TEST(Cell, EndsOfEarlierRunsCountWhenTheyComeLater)
+{
+	CellFixture f;
+	struct cell_record m0 = enrolled_record("m0");
+	struct cell_record m1 = enrolled_record("m1");
+
+	f.queue("q", 0, 2);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	cell_replay(f.cell, &m0);
+	cell_replay(f.cell, &m1);
+	cell_replayed(f.cell, f.now);
+	f.list(2, 8000);
+	f.report(0, "m0", {}, { { 1, "j1.0.0.0", 12, CELL_END_FAILED, "" } });
+	f.report(1, "m1", {}, { { 1, "j1.0.0.0", 11, CELL_END_FAILED, "" } });
+	f.durable();
+	f.tick();
+	EXPECT_EQ(f.starts.size(), 0U);
+	EXPECT_EQ(cell_state(f.cell, "j1"), CELL_JOB_FAILED);
+}
+
+/* Guards against counting one end twice, which minions list until observed. */
+TEST(Cell, AnEndThatIsListedAgainCountsOnce)
+{
+	CellFixture f;
+	struct cell_record m0 = enrolled_record("m0");
+	struct cell_record end = {};
+
+	f.queue("q", 0, 2);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	cell_replay(f.cell, &m0);
+	end.kind = CELL_RECORD_END;
+	end.task = "j1.0.0.0";
+	end.run = 11;
+	end.end = CELL_END_FAILED;
+	end.saved = "";
+	cell_replay(f.cell, &end);
+	cell_replayed(f.cell, f.now);
+	f.list(1, 8000);
+	f.report(0, "m0", {}, { { 1, "j1.0.0.0", 11, CELL_END_FAILED, "" } });
+	f.durable();
+	f.tick();
+	EXPECT_EQ(f.starts.size(), 1U);
+}
+
+/*
+ * Guards against an end that is forgotten because its job was not known yet: a
+ * deposed holder may have started a job that its successor learns of later.
+ */
+TEST(Cell, EndsOfUnknownJobsAreNotForgotten)
+{
+	CellFixture f;
+	struct cell_hold hold;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	f.report(0, "m0", {}, { { 1, "j1.0.0.0", 11, CELL_END_DONE, "" } });
+	f.durable();
+	cell_hold_request(f.cell, 0, &hold, f.now);
+	EXPECT_EQ(hold.observed, 0U);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.report(0, "m0", {}, { { 1, "j1.0.0.0", 11, CELL_END_DONE, "" } });
+	f.durable();
+	EXPECT_EQ(cell_state(f.cell, "j1"), CELL_JOB_COMPLETED);
+	cell_hold_request(f.cell, 0, &hold, f.now);
+	EXPECT_EQ(hold.observed, 1U);
+}
+
+/*
+ * Guards against jobs that wait for the leases of a minion which has left: one
+ * that the platform does not list any more is gone, 2.5 s after the store serves.
+ */
+TEST(Cell, AnInheritedMinionThatIsNotListedIsGone)
+{
+	CellFixture f;
+	struct cell_record m0 = enrolled_record("m0");
+	struct cell_record gone = enrolled_record("gone");
+
+	f.queue("q", 0, 2);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	cell_replay(f.cell, &m0);
+	cell_replay(f.cell, &gone);
+	cell_replayed(f.cell, f.now);
+	f.list(1, 8000);
+	f.report(0, "m0", {}, {});
+	f.tick(1000);
+	EXPECT_EQ(f.starts.size(), 0U);
+	f.tick(2000);
+	f.tick();
+	EXPECT_EQ(f.starts.size(), 1U);
+}
+
+/* Guards against a task that goes on though an earlier run of it was done. */
+TEST(Cell, ARunIsStoppedWhenAnEarlierOneWasDone)
+{
+	CellFixture f;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(2, 8000);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, f.starts[0].minion, "j1.0.0.0", f.starts[0].run,
+		      CELL_OK, f.now);
+	f.report(1 - f.starts[0].minion,
+		 f.starts[0].minion ? "m0" : "m1", {},
+		 { { 1, "j1.0.0.0", 3, CELL_END_DONE, "" } });
+	f.durable();
+	EXPECT_EQ(f.stops.size(), 1U);
+}
+
+/*
+ * Guards against two runs of a step on one minion beyond its spread: also a run
+ * that is being stopped counts until it has ended.
+ */
+TEST(Cell, RunsThatAreBeingStoppedCountForTheSpread)
+{
+	CellFixture f;
+	struct cell_record m0 = enrolled_record("m0");
+	struct cell_record m1 = enrolled_record("m1");
+	struct cell_job_spec spec = CellFixture::job("j1", "q", 2, 1000);
+
+	spec.steps[0].anti_affinity = 1;
+	f.queue("q", 0, 2);
+	f.submit(spec);
+	cell_replay(f.cell, &m0);
+	cell_replay(f.cell, &m1);
+	cell_replayed(f.cell, f.now);
+	f.list(2, 8000);
+	f.report(1, "m1", { { "j1.0.0.0", 12, "" } }, {});
+	f.report(0, "m0", { { "j1.0.0.0", 11, "" } }, {});
+	f.durable();
+	f.tick();
+	ASSERT_EQ(f.stops.size(), 1U);
+	EXPECT_EQ(f.stops[0].minion_id, "m0");
+	EXPECT_EQ(f.starts.size(), 0U);
+}
