Add a simulated cell, and ask about minions that began a new life

fakes/cellsim plays minions, advice, store and callers in virtual time around the real scheduler, with seeded faults, and checks capacity, single runs, attempts, shown states and that all feasible work ends.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,9 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-ARCHIVES = $(CELLD) $(PACKAGES_LIB) $(COMMON) $(LIB)
+# A simulated cell, for tests and benchmarks.
+CELLSIM = $(call OBJ,fakes/cellsim.c)
+ARCHIVES = $(CELLSIM) $(CELLD) $(PACKAGES_LIB) $(COMMON) $(LIB)
 
 $(B)/jayspoked: $(O)/jayspoked/main.o $(ARCHIVES)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
--- /dev/null
+++ b/fakes/cellsim.c
@@ -0,0 +1,1305 @@
+#include "cellsim.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <uthash.h>
+
+#include "buf.h"
+#include "cell/cell.h"
+
+#define UNIX_BASE 1700000000000ULL
+#define START_MS 1000
+#define LEASE_MS 5500
+#define HOLD_MAX_MS 6000
+#define GANG_TIMEOUT_MS 3000
+#define TICKET_MS 2500
+#define TICK_MS 20
+#define LISTING_MS 600
+#define ORDER_TIMEOUT_MS 600
+#define RECORD_MS 14
+#define PREDECESSOR_MS 7400
+/* No new faults so long before the end, so that all work can finish. */
+#define CALM_END_MS 30000
+
+enum sim_event {
+	SIM_TICK,
+	SIM_SUBMIT,
+	SIM_START_ARRIVES,
+	SIM_START_ANSWERED,
+	SIM_STOP_ARRIVES,
+	SIM_STOP_ANSWERED,
+	SIM_HOLD_ARRIVES,
+	SIM_HOLD_EXPIRES,
+	SIM_HOLD_ANSWERED,
+	SIM_ADVISED,
+	SIM_RECORDED,
+	SIM_RUN_ENDS,
+	SIM_GANG_TIMEOUT,
+	SIM_LISTING,
+	SIM_TAKEOVER,
+	SIM_DARK,
+	SIM_CRASH,
+	SIM_OUTAGE
+};
+
+/* One event; which fields count depends on the kind. */
+struct event {
+	uint64_t at_ms;
+	uint64_t order;
+	enum sim_event kind;
+	uint64_t token; /* of the holder that it belongs to */
+	uint32_t minion;
+	uint32_t life;
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+	enum cell_result result;
+	uint64_t deadline_ms;
+	uint64_t observed;
+	uint64_t sent_ms;
+	uint32_t wait_ms;
+	uint64_t seq;
+	bool unanswered;
+	char *checkpoint;
+	struct cell_question *question;
+};
+
+struct sim_run {
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+	uint64_t began_ms;
+	bool gang_waits;
+	uint32_t class_index;
+};
+
+struct sim_end {
+	bool voided; /* the lease lapsed before it was observed */
+	uint64_t number;
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+	enum cell_end end;
+};
+
+struct sim_minion {
+	char id[CELL_NAME_MAX];
+	uint32_t life;
+	uint64_t born;
+	uint64_t dark_until;
+	uint64_t token;
+	uint64_t lease_ms;
+	uint64_t next_number;
+	struct sim_run *runs;
+	uint32_t run_count;
+	struct sim_end *ends;
+	uint32_t end_count;
+	/* Highest run that was stopped or has ended, by task. */
+	struct sim_end *past;
+	uint32_t past_count;
+	bool hold_waits;
+	struct event hold;
+};
+
+struct sim_task {
+	bool done;
+	bool was_done; /* also by an end that does not count any more */
+	uint32_t fails;
+	uint32_t running;
+	uint64_t failed_run;
+};
+
+struct sim_job {
+	char id[CELL_ID_MAX];
+	uint32_t class_index;
+	uint32_t count;
+	uint32_t cpu_milli;
+	uint32_t mem_mb;
+	uint32_t work_ms;
+	uint64_t at_ms;
+	struct sim_task *tasks;
+	uint32_t gang_fails;
+	uint64_t gang_failed_run;
+	uint64_t done_ms;
+	UT_hash_handle hh;
+};
+
+struct stored_record {
+	enum cell_record_kind kind;
+	char subject[CELL_NAME_MAX];
+	uint64_t run;
+	enum cell_end end;
+	bool durable;
+};
+
+struct cellsim {
+	struct cell_owner owner; /* first member */
+	const struct cellsim_settings *settings;
+	struct cellsim_result *result;
+	struct cell *cell;
+	struct cell_config config;
+	uint64_t token;
+	uint64_t now;
+	uint64_t order;
+	uint64_t random;
+	uint64_t outage_until;
+	struct event *heap;
+	uint32_t heap_count;
+	uint32_t heap_capacity;
+	struct sim_minion *minions;
+	struct sim_job *jobs;
+	uint32_t job_count;
+	struct stored_record *records;
+	uint32_t record_count;
+	uint32_t record_capacity;
+	uint64_t *pending; /* sequence numbers of this term, by record */
+	uint64_t lane_free_ms[64];
+	uint64_t used_core_ms;
+};
+
+static void fault(struct cellsim *s, uint32_t *counter, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+static void fault(struct cellsim *s, uint32_t *counter, const char *fmt, ...)
+{
+	va_list ap;
+	int n;
+
+	(*counter)++;
+	if (s->result->first_fault[0])
+		return;
+	n = snprintf(s->result->first_fault, sizeof(s->result->first_fault),
+		     "%" PRIu64 " ms: ", s->now);
+	va_start(ap, fmt);
+	vsnprintf(s->result->first_fault + n,
+		  sizeof(s->result->first_fault) - (size_t)n, fmt, ap);
+	va_end(ap);
+}
+
+/* xorshift64*, so that a seed gives the same run everywhere. */
+static uint64_t draw(struct cellsim *s)
+{
+	s->random ^= s->random >> 12;
+	s->random ^= s->random << 25;
+	s->random ^= s->random >> 27;
+	return s->random * 2685821657736338717ULL;
+}
+
+static double draw_share(struct cellsim *s)
+{
+	return (double)(draw(s) >> 11) / 9007199254740992.0;
+}
+
+static uint32_t around(struct cellsim *s, uint32_t mean)
+{
+	double v = mean * (0.5 + draw_share(s));
+
+	return v < 1 ? 1 : (uint32_t)v;
+}
+
+static uint32_t travel_ms(struct cellsim *s)
+{
+	return 1 + (uint32_t)(draw(s) % 12);
+}
+
+static bool before(const struct event *a, const struct event *b)
+{
+	if (a->at_ms != b->at_ms)
+		return a->at_ms < b->at_ms;
+	return a->order < b->order;
+}
+
+static void swap(struct event *a, struct event *b)
+{
+	struct event t = *a;
+
+	*a = *b;
+	*b = t;
+}
+
+static void push(struct cellsim *s, const struct event *event, uint64_t in_ms)
+{
+	uint32_t i = s->heap_count++;
+
+	if (s->heap_count > s->heap_capacity) {
+		s->heap_capacity = s->heap_capacity ? s->heap_capacity * 2 :
+						      1024;
+		s->heap = xrealloc(s->heap,
+				   s->heap_capacity * sizeof(*s->heap));
+	}
+	s->heap[i] = *event;
+	s->heap[i].at_ms = s->now + in_ms;
+	s->heap[i].order = s->order++;
+	while (i && before(&s->heap[i], &s->heap[(i - 1) / 2])) {
+		swap(&s->heap[i], &s->heap[(i - 1) / 2]);
+		i = (i - 1) / 2;
+	}
+}
+
+static struct event pop(struct cellsim *s)
+{
+	struct event top = s->heap[0];
+	uint32_t i = 0;
+
+	s->heap[0] = s->heap[--s->heap_count];
+	for (;;) {
+		uint32_t child = i * 2 + 1;
+
+		if (child >= s->heap_count)
+			break;
+		if (child + 1 < s->heap_count &&
+		    before(&s->heap[child + 1], &s->heap[child]))
+			child++;
+		if (!before(&s->heap[child], &s->heap[i]))
+			break;
+		swap(&s->heap[i], &s->heap[child]);
+		i = child;
+	}
+	return top;
+}
+
+static struct cellsim *of_owner(struct cell_owner *owner)
+{
+	return (struct cellsim *)owner;
+}
+
+static struct sim_job *job_of(struct cellsim *s, const char *task,
+			      struct cell_task_name *name)
+{
+	struct sim_job *job;
+
+	if (!cell_task_parse(task, name))
+		return NULL;
+	HASH_FIND_STR(s->jobs, name->job, job);
+	return job;
+}
+
+/* An order may be carried out without an answer, or late. */
+static void lose(struct cellsim *s, struct event *event, uint64_t *in_ms)
+{
+	if (draw_share(s) >= s->settings->lost_share)
+		return;
+	event->unanswered = true;
+	if (draw(s) & 1)
+		*in_ms += 500 + draw(s) % 8000;
+}
+
+static void op_start(struct cell_owner *owner, const struct cell_start *start)
+{
+	struct cellsim *s = of_owner(owner);
+	struct event e = { .kind = SIM_START_ARRIVES,
+			   .token = s->token,
+			   .minion = (uint32_t)strtoul(start->minion_id + 1,
+						       NULL, 10),
+			   .seq = start->minion,
+			   .run = start->run,
+			   .deadline_ms = start->deadline_ms };
+	uint64_t in_ms = travel_ms(s);
+
+	memcpy(e.task, start->task, sizeof(e.task));
+	s->result->starts++;
+	lose(s, &e, &in_ms);
+	if (e.unanswered) {
+		struct event lost = e;
+
+		lost.kind = SIM_START_ANSWERED;
+		lost.result = CELL_NO_ANSWER;
+		push(s, &lost, ORDER_TIMEOUT_MS);
+	}
+	push(s, &e, in_ms);
+}
+
+static void op_stop(struct cell_owner *owner, const struct cell_stop *stop)
+{
+	struct cellsim *s = of_owner(owner);
+	struct event e = { .kind = SIM_STOP_ARRIVES,
+			   .token = s->token,
+			   .minion = (uint32_t)strtoul(stop->minion_id + 1,
+						       NULL, 10),
+			   .seq = stop->minion,
+			   .run = stop->run };
+	uint64_t in_ms = travel_ms(s);
+
+	memcpy(e.task, stop->task, sizeof(e.task));
+	lose(s, &e, &in_ms);
+	if (e.unanswered) {
+		struct event lost = e;
+
+		lost.kind = SIM_STOP_ANSWERED;
+		lost.result = CELL_NO_ANSWER;
+		push(s, &lost, ORDER_TIMEOUT_MS);
+	}
+	push(s, &e, in_ms);
+}
+
+static void op_hold(struct cell_owner *owner, uint32_t minion)
+{
+	struct cellsim *s = of_owner(owner);
+	struct cell_hold hold;
+	struct event e = { .kind = SIM_HOLD_ARRIVES,
+			   .token = s->token,
+			   .seq = minion,
+			   .sent_ms = s->now };
+
+	if (!cell_hold_request(s->cell, minion, &hold, s->now))
+		return;
+	e.minion = (uint32_t)strtoul(hold.id + 1, NULL, 10);
+	e.observed = hold.observed;
+	e.deadline_ms = hold.deadline_ms;
+	e.wait_ms = hold.wait_ms;
+	push(s, &e, travel_ms(s));
+}
+
+static bool is_good(const struct cellsim *s, const char *step,
+		    const char *minion, double share)
+{
+	uint64_t h = s->settings->seed * 1099511628211ULL + 14695981039346656037ULL;
+
+	for (; *step; step++)
+		h = (h ^ (unsigned char)*step) * 1099511628211ULL;
+	for (; *minion; minion++)
+		h = (h ^ (unsigned char)*minion) * 1099511628211ULL;
+	h ^= h >> 33;
+	return (double)(h % 10000) < share * 10000;
+}
+
+static const struct cellsim_class *class_of(struct cellsim *s, const char *task,
+					    struct sim_job **job)
+{
+	struct cell_task_name name;
+	char copy[CELL_TASK_MAX + 4];
+
+	snprintf(copy, sizeof(copy), "%s.0", task);
+	*job = job_of(s, cell_task_parse(task, &name) ? task : copy, &name);
+	return *job ? &s->settings->classes[(*job)->class_index] : NULL;
+}
+
+static void op_ask(struct cell_owner *owner, const struct cell_question *q)
+{
+	struct cellsim *s = of_owner(owner);
+	struct event e = { .kind = SIM_ADVISED, .token = s->token };
+	struct sim_job *job;
+	const struct cellsim_class *c = class_of(s, q->step, &job);
+	uint64_t *lane = &s->lane_free_ms[q->lane];
+
+	e.question = xcalloc(1, sizeof(*e.question));
+	*e.question = *q;
+	/* Ids outlive the call: they are those of the simulated minions. */
+	for (uint32_t i = 0; i < q->count; i++)
+		e.question->minions[i] =
+			s->minions[strtoul(q->minions[i] + 1, NULL, 10)].id;
+	if (*lane < s->now)
+		*lane = s->now;
+	*lane += (uint64_t)(c->advice_ms + c->advice_minion_ms * q->count);
+	push(s, &e, *lane - s->now + travel_ms(s));
+}
+
+static void op_record(struct cell_owner *owner, uint64_t seq,
+		      const struct cell_record *record)
+{
+	struct cellsim *s = of_owner(owner);
+	struct event e = { .kind = SIM_RECORDED, .token = s->token, .seq = seq };
+	struct stored_record *r;
+
+	if (s->record_count == s->record_capacity) {
+		s->record_capacity = s->record_capacity ?
+					     s->record_capacity * 2 :
+					     1024;
+		s->records = xrealloc(s->records, s->record_capacity *
+							  sizeof(*s->records));
+	}
+	r = &s->records[s->record_count++];
+	*r = (struct stored_record){ .kind = record->kind,
+				     .run = record->run,
+				     .end = record->end };
+	snprintf(r->subject, sizeof(r->subject), "%s",
+		 record->kind == CELL_RECORD_END    ? record->task :
+		 record->kind == CELL_RECORD_CANCEL ? record->job :
+						      record->minion);
+	e.run = s->record_count; /* records up to here become durable */
+	push(s, &e,
+	     RECORD_MS + (s->outage_until > s->now ? s->outage_until - s->now :
+						     0));
+}
+
+static void op_event(struct cell_owner *owner, const struct cell_event *e)
+{
+	const struct cellsim *s = of_owner(owner);
+
+	if (s->settings->trace)
+		printf("%" PRIu64 " %s %s %s run %" PRIu64 " %s %" PRIu64 "\n",
+		       s->now, e->what,
+		       e->task  ? e->task :
+		       e->job   ? e->job :
+				  "-",
+		       e->minion ? e->minion : "-", e->run,
+		       e->detail ? e->detail : "", e->value);
+}
+
+static const struct cell_ops sim_ops = {
+	.start = op_start,
+	.stop = op_stop,
+	.ask = op_ask,
+	.record = op_record,
+	.hold = op_hold,
+	.event = op_event,
+};
+
+static uint64_t clock_of(const struct cellsim *s, const struct sim_minion *m)
+{
+	return s->now - m->born + 1000;
+}
+
+static struct sim_run *run_find(struct sim_minion *m, const char *task,
+				uint64_t run)
+{
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		if (m->runs[i].run == run && !strcmp(m->runs[i].task, task))
+			return &m->runs[i];
+	}
+	return NULL;
+}
+
+static void note_past(struct sim_minion *m, const char *task, uint64_t run)
+{
+	for (uint32_t i = 0; i < m->past_count; i++) {
+		if (!strcmp(m->past[i].task, task)) {
+			if (run > m->past[i].run)
+				m->past[i].run = run;
+			return;
+		}
+	}
+	m->past = xrealloc(m->past, (m->past_count + 1) * sizeof(*m->past));
+	m->past[m->past_count] = (struct sim_end){ .run = run };
+	snprintf(m->past[m->past_count].task, CELL_TASK_MAX, "%s", task);
+	m->past_count++;
+}
+
+static bool is_past(const struct sim_minion *m, const char *task, uint64_t run)
+{
+	for (uint32_t i = 0; i < m->past_count; i++) {
+		if (!strcmp(m->past[i].task, task))
+			return run <= m->past[i].run;
+	}
+	return false;
+}
+
+static void answer_hold(struct cellsim *s, struct sim_minion *m);
+
+static void check_job(struct cellsim *s, struct sim_job *job)
+{
+	for (uint32_t i = 0; i < job->count; i++) {
+		if (!job->tasks[i].was_done)
+			return;
+	}
+	if (!job->done_ms)
+		job->done_ms = s->now;
+}
+
+static void count_fail(struct sim_job *job, struct sim_task *task, bool gang,
+		       uint64_t run)
+{
+	if (!gang) {
+		task->fails++;
+	} else if (job->gang_failed_run != run) {
+		job->gang_failed_run = run;
+		job->gang_fails++;
+	}
+}
+
+/* Ends a run on a minion and lists the end. */
+static void end_run(struct cellsim *s, struct sim_minion *m,
+		    struct sim_run *run, enum cell_end how)
+{
+	struct cell_task_name name;
+	struct sim_job *job = job_of(s, run->task, &name);
+	struct sim_task *task = &job->tasks[name.index];
+	bool gang = s->settings->classes[job->class_index].gang;
+	struct sim_end *end;
+
+	m->ends = xrealloc(m->ends, (m->end_count + 1) * sizeof(*m->ends));
+	end = &m->ends[m->end_count++];
+	*end = (struct sim_end){ .number = ++m->next_number,
+				 .run = run->run,
+				 .end = how };
+	memcpy(end->task, run->task, sizeof(end->task));
+	note_past(m, run->task, run->run);
+	task->running--;
+	if (how == CELL_END_DONE) {
+		task->done = true;
+		task->was_done = true;
+	} else {
+		s->result->wasted_core_ms += (s->now - run->began_ms) *
+					     job->cpu_milli / 1000;
+	}
+	if (how == CELL_END_FAILED)
+		count_fail(job, task, gang, run->run);
+	s->result->alone += how == CELL_END_ALONE;
+	*run = m->runs[--m->run_count];
+	check_job(s, job);
+	answer_hold(s, m);
+}
+
+/* Ends the other members of a gang's run, wherever they are. */
+static void end_gang(struct cellsim *s, const char *task, uint64_t run,
+		     enum cell_end how)
+{
+	size_t len = (size_t)(strrchr(task, '.') - task) + 1;
+
+	for (uint32_t i = 0; i < s->settings->minions; i++) {
+		struct sim_minion *m = &s->minions[i];
+
+		for (uint32_t r = 0; r < m->run_count;) {
+			struct sim_run *other = &m->runs[r];
+
+			if (other->run == run &&
+			    !strncmp(other->task, task, len) &&
+			    strcmp(other->task, task) != 0)
+				end_run(s, m, other, how);
+			else
+				r++;
+		}
+	}
+}
+
+static uint32_t members(struct cellsim *s, const char *task, uint64_t run)
+{
+	size_t len = (size_t)(strrchr(task, '.') - task) + 1;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->settings->minions; i++) {
+		for (uint32_t r = 0; r < s->minions[i].run_count; r++) {
+			const struct sim_run *other = &s->minions[i].runs[r];
+
+			n += other->run == run &&
+			     !strncmp(other->task, task, len);
+		}
+	}
+	return n;
+}
+
+static void work(struct cellsim *s, uint32_t minion, const char *task,
+		 uint64_t run, struct sim_job *job)
+{
+	const struct cellsim_class *c = &s->settings->classes[job->class_index];
+	struct event e = { .kind = SIM_RUN_ENDS,
+			   .minion = minion,
+			   .life = s->minions[minion].life,
+			   .run = run };
+
+	snprintf(e.task, sizeof(e.task), "%s", task);
+	e.result = draw_share(s) < c->fail_share ? CELL_REJECTED_OTHER :
+						   CELL_OK;
+	push(s, &e, around(s, job->work_ms));
+}
+
+static void begin_gang(struct cellsim *s, const char *task, uint64_t run,
+		       struct sim_job *job)
+{
+	size_t len = (size_t)(strrchr(task, '.') - task) + 1;
+	bool first = true;
+
+	for (uint32_t i = 0; i < s->settings->minions; i++) {
+		for (uint32_t r = 0; r < s->minions[i].run_count; r++) {
+			struct sim_run *other = &s->minions[i].runs[r];
+
+			if (other->run != run ||
+			    strncmp(other->task, task, len) != 0)
+				continue;
+			other->gang_waits = false;
+			/* One member decides how the gang ends. */
+			if (first)
+				work(s, i, other->task, run, job);
+			first = false;
+		}
+	}
+}
+
+static void check_room(struct cellsim *s, struct sim_minion *m)
+{
+	uint64_t cpu = 0;
+	uint64_t mem = 0;
+
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		struct cell_task_name name;
+		struct sim_job *job = job_of(s, m->runs[i].task, &name);
+
+		cpu += job->cpu_milli;
+		mem += job->mem_mb;
+	}
+	if (cpu > s->settings->cpu_milli || mem > s->settings->mem_mb)
+		fault(s, &s->result->over_capacity, "%s holds %" PRIu64
+			 " thousandths of a core",
+		      m->id, cpu);
+}
+
+static void check_start(struct cellsim *s, struct sim_job *job,
+			const struct sim_task *task, const struct event *e)
+{
+	const struct cellsim_class *c = &s->settings->classes[job->class_index];
+
+	if (task->running)
+		fault(s, &s->result->run_twice, "%s runs twice", e->task);
+	else if (task->done)
+		fault(s, &s->result->run_twice, "%s starts after it was done",
+		      e->task);
+	if ((c->gang ? job->gang_fails : task->fails) >= c->max_attempts)
+		fault(s, &s->result->over_budget, "%s starts after %u failures",
+		      e->task, c->gang ? job->gang_fails : task->fails);
+}
+
+static enum cell_result take_start(struct cellsim *s, const struct event *e)
+{
+	struct sim_minion *m = &s->minions[e->minion];
+	struct cell_task_name name;
+	struct sim_job *job = job_of(s, e->task, &name);
+	struct sim_task *task = &job->tasks[name.index];
+	const struct cellsim_class *c = &s->settings->classes[job->class_index];
+	struct sim_run *run;
+
+	if (e->token < m->token)
+		return CELL_REJECTED_FENCE;
+	m->token = e->token;
+	if (run_find(m, e->task, e->run))
+		return CELL_OK;
+	if (is_past(m, e->task, e->run))
+		return CELL_REJECTED_OLD;
+	if (clock_of(s, m) > e->deadline_ms)
+		return CELL_REJECTED_LATE;
+	if (e->deadline_ms > m->lease_ms)
+		m->lease_ms = e->deadline_ms;
+	check_start(s, job, task, e);
+	m->runs = xrealloc(m->runs, (m->run_count + 1) * sizeof(*m->runs));
+	run = &m->runs[m->run_count++];
+	*run = (struct sim_run){ .run = e->run,
+				 .began_ms = s->now,
+				 .gang_waits = c->gang };
+	memcpy(run->task, e->task, sizeof(run->task));
+	task->running++;
+	check_room(s, m);
+	if (!c->gang) {
+		work(s, e->minion, e->task, e->run, job);
+	} else if (members(s, e->task, e->run) == job->count) {
+		begin_gang(s, e->task, e->run, job);
+	} else {
+		struct event timeout = *e;
+
+		timeout.kind = SIM_GANG_TIMEOUT;
+		timeout.life = m->life;
+		push(s, &timeout, GANG_TIMEOUT_MS);
+	}
+	return CELL_OK;
+}
+
+static bool is_dark(const struct cellsim *s, uint32_t minion)
+{
+	return s->now < s->minions[minion].dark_until;
+}
+
+static void on_start_arrives(struct cellsim *s, struct event *e)
+{
+	bool dark = is_dark(s, e->minion);
+
+	e->result = CELL_NO_ANSWER;
+	if (!dark)
+		e->result = take_start(s, e);
+	if (e->unanswered)
+		return;
+	e->kind = SIM_START_ANSWERED;
+	push(s, e, dark ? ORDER_TIMEOUT_MS : travel_ms(s));
+}
+
+static void on_stop_arrives(struct cellsim *s, struct event *e)
+{
+	struct sim_minion *m = &s->minions[e->minion];
+	struct sim_run *run = run_find(m, e->task, e->run);
+	bool dark = is_dark(s, e->minion);
+
+	e->result = dark ? CELL_NO_ANSWER : CELL_OK;
+	if (!dark && e->token >= m->token) {
+		m->token = e->token;
+		note_past(m, e->task, e->run);
+		if (run) {
+			end_run(s, m, run, CELL_END_STOPPED);
+			end_gang(s, e->task, e->run, CELL_END_BROKEN);
+		}
+	} else if (!dark) {
+		e->result = CELL_REJECTED_FENCE;
+	}
+	if (e->unanswered)
+		return;
+	e->kind = SIM_STOP_ANSWERED;
+	push(s, e, dark ? ORDER_TIMEOUT_MS : travel_ms(s));
+}
+
+static void answer_hold(struct cellsim *s, struct sim_minion *m)
+{
+	struct event e;
+
+	if (!m->hold_waits)
+		return;
+	m->hold_waits = false;
+	e = m->hold;
+	e.kind = SIM_HOLD_ANSWERED;
+	e.result = CELL_OK;
+	push(s, &e, travel_ms(s));
+}
+
+static void on_hold_arrives(struct cellsim *s, struct event *e)
+{
+	struct sim_minion *m = &s->minions[e->minion];
+	uint32_t kept = 0;
+
+	if (is_dark(s, e->minion)) {
+		e->kind = SIM_HOLD_ANSWERED;
+		e->result = CELL_NO_ANSWER;
+		push(s, e, e->wait_ms + 700);
+		return;
+	}
+	if (e->token < m->token) {
+		e->kind = SIM_HOLD_ANSWERED;
+		e->result = CELL_REJECTED_FENCE;
+		push(s, e, travel_ms(s));
+		return;
+	}
+	m->token = e->token;
+	if (e->deadline_ms > m->lease_ms)
+		m->lease_ms = e->deadline_ms;
+	if (m->lease_ms > clock_of(s, m) + HOLD_MAX_MS)
+		m->lease_ms = clock_of(s, m) + HOLD_MAX_MS;
+	for (uint32_t i = 0; i < m->end_count; i++) {
+		if (m->ends[i].number > e->observed)
+			m->ends[kept++] = m->ends[i];
+	}
+	m->end_count = kept;
+	answer_hold(s, m);
+	m->hold_waits = true;
+	m->hold = *e;
+	if (m->end_count || !e->wait_ms) {
+		answer_hold(s, m);
+		return;
+	}
+	e->kind = SIM_HOLD_EXPIRES;
+	push(s, e, e->wait_ms);
+}
+
+static void on_hold_answered(struct cellsim *s, struct event *e)
+{
+	struct sim_minion *m = &s->minions[e->minion];
+	struct cell_running *running;
+	struct cell_ended *ended;
+	struct cell_report report = { .born_unix_ms = UNIX_BASE + m->born,
+				      .clock_ms = clock_of(s, m) };
+
+	if (e->token != s->token)
+		return;
+	if (e->result != CELL_OK) {
+		cell_on_hold_failed(s->cell, (uint32_t)e->seq, m->id, e->result,
+				    s->now);
+		return;
+	}
+	running = xcalloc(m->run_count + 1, sizeof(*running));
+	ended = xcalloc(m->end_count + 1, sizeof(*ended));
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		memcpy(running[i].task, m->runs[i].task, CELL_TASK_MAX);
+		running[i].run = m->runs[i].run;
+	}
+	for (uint32_t i = 0; i < m->end_count; i++) {
+		memcpy(ended[i].task, m->ends[i].task, CELL_TASK_MAX);
+		ended[i].number = m->ends[i].number;
+		ended[i].run = m->ends[i].run;
+		ended[i].end = m->ends[i].end;
+	}
+	report.running = running;
+	report.running_count = m->run_count;
+	report.ended = ended;
+	report.ended_count = m->end_count;
+	cell_on_report(s->cell, (uint32_t)e->seq, m->id, &report, e->sent_ms,
+		       s->now);
+	free(running);
+	free(ended);
+}
+
+static void on_run_ends(struct cellsim *s, const struct event *e)
+{
+	struct sim_minion *m = &s->minions[e->minion];
+	struct sim_run *run = run_find(m, e->task, e->run);
+	struct cell_task_name name;
+	struct sim_job *job = job_of(s, e->task, &name);
+	bool gang = s->settings->classes[job->class_index].gang;
+	bool done = e->result == CELL_OK;
+
+	if (m->life != e->life || !run)
+		return;
+	end_run(s, m, run, done ? CELL_END_DONE : CELL_END_FAILED);
+	if (gang)
+		end_gang(s, e->task, e->run,
+			 done ? CELL_END_DONE : CELL_END_BROKEN);
+}
+
+static void on_gang_timeout(struct cellsim *s, const struct event *e)
+{
+	struct sim_minion *m = &s->minions[e->minion];
+	struct sim_run *run = run_find(m, e->task, e->run);
+
+	if (m->life == e->life && run && run->gang_waits)
+		end_run(s, m, run, CELL_END_ALONE);
+}
+
+static void on_advised(struct cellsim *s, struct event *e)
+{
+	struct cell_ticket good[CELL_QUESTION_MAX];
+	struct sim_job *job;
+	const struct cellsim_class *c = class_of(s, e->question->step, &job);
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < e->question->count; i++) {
+		if (is_good(s, e->question->step, e->question->minions[i],
+			    c->advice_good))
+			good[n++] = (struct cell_ticket){
+				.minion = e->question->minions[i],
+				.ticket = "t"
+			};
+	}
+	if (e->token == s->token)
+		cell_on_advice(s->cell, e->question->handle, true, good, n,
+			       s->now);
+	free(e->question);
+}
+
+static void submit_job(struct cellsim *s, const struct sim_job *job)
+{
+	const struct cellsim_class *c = &s->settings->classes[job->class_index];
+	struct cell_job_spec spec = { .step_count = 1 };
+
+	snprintf(spec.id, sizeof(spec.id), "%s", job->id);
+	snprintf(spec.queue, sizeof(spec.queue), "%s", c->queue);
+	spec.payload = strdup("");
+	spec.accepted_unix_ms = UNIX_BASE + job->at_ms;
+	spec.steps = xcalloc(1, sizeof(*spec.steps));
+	spec.steps[0].count = job->count;
+	spec.steps[0].need.cpu_milli = job->cpu_milli;
+	spec.steps[0].need.mem_mb = job->mem_mb;
+	spec.steps[0].estimate_ms = job->work_ms;
+	spec.steps[0].gang = c->gang;
+	cell_submit(s->cell, &spec, UNIX_BASE + s->now, s->now);
+}
+
+static void on_submit(struct cellsim *s, struct event *e)
+{
+	const struct cellsim_class *c = &s->settings->classes[e->minion];
+	struct sim_job *job;
+
+	if (s->now > s->settings->submit_ms)
+		return;
+	job = xcalloc(1, sizeof(*job));
+	snprintf(job->id, sizeof(job->id), "%016x", ++s->job_count);
+	job->class_index = e->minion;
+	job->count = around(s, c->width);
+	job->cpu_milli = around(s, c->cpu_milli);
+	job->mem_mb = around(s, c->mem_mb);
+	job->work_ms = around(s, c->work_ms);
+	job->at_ms = s->now;
+	job->tasks = xcalloc(job->count, sizeof(*job->tasks));
+	HASH_ADD_STR(s->jobs, id, job);
+	s->result->jobs++;
+	s->result->of_class[e->minion]++;
+	submit_job(s, job);
+	push(s, e, (uint64_t)(2000.0 / c->per_s * draw_share(s)));
+}
+
+static void list_minions(struct cellsim *s)
+{
+	struct cell_minion_info *infos =
+		xcalloc(s->settings->minions, sizeof(*infos));
+
+	for (uint32_t i = 0; i < s->settings->minions; i++) {
+		struct cell_minion_info *info = &infos[i];
+
+		snprintf(info->id, sizeof(info->id), "%s", s->minions[i].id);
+		snprintf(info->addr, sizeof(info->addr), "10.0.0.1:80");
+		snprintf(info->service, sizeof(info->service), "svc");
+		info->capacity.cpu_milli = s->settings->cpu_milli;
+		info->capacity.mem_mb = s->settings->mem_mb;
+	}
+	cell_set_minions(s->cell, infos, s->settings->minions, s->now);
+	free(infos);
+}
+
+static void new_term(struct cellsim *s)
+{
+	struct cell_settings settings = { .token = ++s->token,
+					  .lease_ms = LEASE_MS,
+					  .hold_wait_ms = 1500,
+					  .stop_timeout_ms = 400,
+					  .predecessor_ms = PREDECESSOR_MS,
+					  .status_ms = 120000 };
+	struct sim_job *job;
+	struct sim_job *tmp;
+
+	cell_free(s->cell);
+	s->cell = cell_new(&s->owner, &settings, s->now);
+	cell_set_config(s->cell, &s->config);
+	HASH_ITER(hh, s->jobs, job, tmp)
+		submit_job(s, job);
+	for (uint32_t i = 0; i < s->record_count; i++) {
+		const struct stored_record *r = &s->records[i];
+		struct cell_record record = { .kind = r->kind,
+					      .job = r->subject,
+					      .task = r->subject,
+					      .minion = r->subject,
+					      .addr = "10.0.0.1:80",
+					      .run = r->run,
+					      .end = r->end,
+					      .saved = "" };
+
+		if (r->durable)
+			cell_replay(s->cell, &record);
+	}
+	cell_replayed(s->cell, s->now);
+	for (uint32_t i = 0; i < s->settings->lanes; i++)
+		cell_lane_up(s->cell, i);
+	cell_set_valid(s->cell, true);
+	list_minions(s);
+}
+
+static void on_takeover(struct cellsim *s, struct event *e)
+{
+	s->result->takeovers++;
+	/* What the former holder had not written is lost. */
+	for (uint32_t i = 0; i < s->record_count; i++) {
+		if (!s->records[i].durable)
+			s->records[i].kind = CELL_RECORD_KINDS;
+	}
+	new_term(s);
+	push(s, e, around(s, s->settings->takeover_every_ms));
+}
+
+static void on_recorded(struct cellsim *s, const struct event *e)
+{
+	if (e->token != s->token)
+		return;
+	for (uint32_t i = (uint32_t)e->run; i > 0; i--) {
+		if (s->records[i - 1].durable)
+			break;
+		s->records[i - 1].durable = true;
+	}
+	cell_recorded(s->cell, e->seq, s->now);
+}
+
+/*
+ * An end that was not observed before the lease ran out does not count: its
+ * task may have been started elsewhere by then.
+ */
+static void void_end(struct cellsim *s, struct sim_end *end)
+{
+	struct cell_task_name name;
+	struct sim_job *job = job_of(s, end->task, &name);
+	bool gang = s->settings->classes[job->class_index].gang;
+
+	if (end->voided)
+		return;
+	end->voided = true;
+	if (end->end == CELL_END_DONE)
+		job->tasks[name.index].done = false;
+	else if (end->end == CELL_END_FAILED && gang)
+		job->gang_fails -= job->gang_fails > 0;
+	else if (end->end == CELL_END_FAILED)
+		job->tasks[name.index].fails--;
+}
+
+static void lapse(struct cellsim *s)
+{
+	for (uint32_t i = 0; i < s->settings->minions; i++) {
+		struct sim_minion *m = &s->minions[i];
+
+		for (uint32_t k = 0;
+		     k < m->end_count && clock_of(s, m) > m->lease_ms; k++)
+			void_end(s, &m->ends[k]);
+		while (m->run_count && clock_of(s, m) > m->lease_ms) {
+			struct sim_run run = m->runs[0];
+
+			end_run(s, m, &m->runs[0], CELL_END_LAPSED);
+			end_gang(s, run.task, run.run, CELL_END_BROKEN);
+		}
+	}
+}
+
+static void on_crash(struct cellsim *s, struct event *e)
+{
+	struct sim_minion *m = &s->minions[draw(s) % s->settings->minions];
+
+	while (m->run_count) {
+		struct sim_run run = m->runs[0];
+
+		end_run(s, m, &m->runs[0], CELL_END_FAILED);
+		end_gang(s, run.task, run.run, CELL_END_BROKEN);
+	}
+	/* Nothing of the former life is known any more. */
+	for (uint32_t i = 0; i < m->end_count; i++)
+		void_end(s, &m->ends[i]);
+	m->end_count = 0;
+	m->past_count = 0;
+	m->next_number = 0;
+	m->token = 0;
+	m->lease_ms = 0;
+	m->life++;
+	m->born = s->now;
+	m->hold_waits = false;
+	m->dark_until = s->now + 300;
+	push(s, e, around(s, s->settings->crash_every_ms));
+}
+
+static void on_tick(struct cellsim *s, struct event *e)
+{
+	struct timespec a;
+	struct timespec b;
+
+	lapse(s);
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &a);
+	cell_tick(s->cell, UNIX_BASE + s->now, s->now);
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &b);
+	s->result->cpu_ns += (uint64_t)((b.tv_sec - a.tv_sec) * 1000000000LL +
+					(b.tv_nsec - a.tv_nsec));
+	if (s->now <= s->settings->submit_ms) {
+		struct cell_stats stats;
+
+		cell_get_stats(s->cell, &stats);
+		s->used_core_ms += stats.used_cpu_milli * TICK_MS / 1000;
+	}
+	push(s, e, TICK_MS);
+}
+
+static bool is_fault(enum sim_event kind)
+{
+	return kind == SIM_TAKEOVER || kind == SIM_DARK || kind == SIM_CRASH ||
+	       kind == SIM_OUTAGE;
+}
+
+static void dispatch(struct cellsim *s, struct event *e)
+{
+	bool current = e->token == s->token;
+	uint32_t handle = (uint32_t)e->seq;
+
+	if (is_fault(e->kind) && s->now + CALM_END_MS > s->settings->run_ms)
+		return;
+	switch (e->kind) {
+	case SIM_TICK:
+		on_tick(s, e);
+		return;
+	case SIM_SUBMIT:
+		on_submit(s, e);
+		break;
+	case SIM_START_ARRIVES:
+		on_start_arrives(s, e);
+		break;
+	case SIM_START_ANSWERED:
+		if (current)
+			cell_on_start(s->cell, handle, e->task, e->run,
+				      e->result, s->now);
+		break;
+	case SIM_STOP_ARRIVES:
+		on_stop_arrives(s, e);
+		break;
+	case SIM_STOP_ANSWERED:
+		if (current)
+			cell_on_stop(s->cell, handle, e->task, e->run,
+				     e->result, s->now);
+		break;
+	case SIM_HOLD_ARRIVES:
+		on_hold_arrives(s, e);
+		break;
+	case SIM_HOLD_EXPIRES:
+		if (s->minions[e->minion].hold_waits &&
+		    s->minions[e->minion].hold.sent_ms == e->sent_ms)
+			answer_hold(s, &s->minions[e->minion]);
+		break;
+	case SIM_HOLD_ANSWERED:
+		on_hold_answered(s, e);
+		break;
+	case SIM_ADVISED:
+		on_advised(s, e);
+		break;
+	case SIM_RECORDED:
+		on_recorded(s, e);
+		break;
+	case SIM_RUN_ENDS:
+		on_run_ends(s, e);
+		break;
+	case SIM_GANG_TIMEOUT:
+		on_gang_timeout(s, e);
+		break;
+	case SIM_LISTING:
+		list_minions(s);
+		push(s, e, LISTING_MS);
+		break;
+	case SIM_TAKEOVER:
+		on_takeover(s, e);
+		break;
+	case SIM_DARK:
+		s->minions[draw(s) % s->settings->minions].dark_until =
+			s->now + 1000 + draw(s) % 7000;
+		push(s, e, around(s, s->settings->dark_every_ms));
+		break;
+	case SIM_CRASH:
+		on_crash(s, e);
+		break;
+	case SIM_OUTAGE:
+		s->outage_until = s->now + 1000 + draw(s) % 3000;
+		push(s, e, around(s, s->settings->outage_every_ms));
+		break;
+	}
+}
+
+static void schedule_fault(struct cellsim *s, enum sim_event kind,
+			   uint32_t every_ms)
+{
+	struct event e = { .kind = kind };
+
+	if (every_ms)
+		push(s, &e, around(s, every_ms));
+}
+
+static void open_world(struct cellsim *s)
+{
+	const struct cellsim_settings *set = s->settings;
+	struct event e = { .kind = SIM_TICK };
+
+	s->owner.ops = &sim_ops;
+	s->now = START_MS;
+	s->random = set->seed * 0x9E3779B97F4A7C15ULL + 1;
+	s->minions = xcalloc(set->minions, sizeof(*s->minions));
+	for (uint32_t i = 0; i < set->minions; i++) {
+		s->minions[i].born = 1;
+		snprintf(s->minions[i].id, sizeof(s->minions[i].id), "m%u", i);
+	}
+	s->config.version = 1;
+	s->config.queue_count = set->class_count;
+	s->config.queues = xcalloc(set->class_count, sizeof(*s->config.queues));
+	for (uint32_t i = 0; i < set->class_count; i++) {
+		const struct cellsim_class *c = &set->classes[i];
+		struct cell_queue_spec *q = &s->config.queues[i];
+
+		snprintf(q->name, sizeof(q->name), "%s", c->queue);
+		snprintf(q->service, sizeof(q->service), "svc");
+		q->priority = c->priority;
+		q->max_attempts = c->max_attempts;
+		q->slo_ms = c->slo_ms;
+		q->stretch = c->stretch;
+		q->advice.needed = c->advice_ms > 0;
+		q->advice.decide_ms = c->advice_ms;
+		q->advice.per_minion_ms = c->advice_minion_ms;
+		q->advice.valid_ms = TICKET_MS;
+	}
+	new_term(s);
+	push(s, &e, 0);
+	e.kind = SIM_LISTING;
+	push(s, &e, LISTING_MS);
+	for (uint32_t i = 0; i < set->class_count; i++) {
+		e = (struct event){ .kind = SIM_SUBMIT, .minion = i };
+		push(s, &e, 1000 + draw(s) % 100);
+	}
+	schedule_fault(s, SIM_TAKEOVER, set->takeover_every_ms);
+	schedule_fault(s, SIM_DARK, set->dark_every_ms);
+	schedule_fault(s, SIM_CRASH, set->crash_every_ms);
+	schedule_fault(s, SIM_OUTAGE, set->outage_every_ms);
+}
+
+/* Returns true if the good minions have room for the whole job at once. */
+static bool is_feasible(const struct cellsim *s, const struct sim_job *job)
+{
+	const struct cellsim_class *c = &s->settings->classes[job->class_index];
+	uint32_t each = s->settings->cpu_milli / job->cpu_milli;
+	uint32_t by_mem = s->settings->mem_mb / job->mem_mb;
+	char step[CELL_TASK_MAX];
+	uint32_t places = 0;
+
+	if (by_mem < each)
+		each = by_mem;
+	snprintf(step, sizeof(step), "%s.0.0", job->id);
+	for (uint32_t i = 0; i < s->settings->minions; i++) {
+		if (!c->advice_ms ||
+		    is_good(s, step, s->minions[i].id, c->advice_good))
+			places += each;
+	}
+	return places >= (c->gang ? job->count : 1);
+}
+
+static void judge(struct cellsim *s)
+{
+	struct sim_job *job;
+	struct sim_job *tmp;
+
+	HASH_ITER(hh, s->jobs, job, tmp) {
+		const struct cellsim_class *c =
+			&s->settings->classes[job->class_index];
+		enum cell_job_state state = cell_state(s->cell, job->id);
+		uint64_t goal = c->slo_ms +
+				(uint64_t)(c->stretch * job->work_ms);
+
+		if (state == CELL_JOB_COMPLETED) {
+			s->result->completed++;
+			if (!job->done_ms)
+				fault(s, &s->result->wrong_state,
+				      "%s is shown as completed", job->id);
+			else if (job->done_ms - job->at_ms <= goal)
+				s->result->in_time[job->class_index]++;
+		} else if (state == CELL_JOB_FAILED) {
+			s->result->failed++;
+		} else if (is_feasible(s, job)) {
+			fault(s, &s->result->unfinished, "%s is %s at the end",
+			      job->id, cell_state_name(state));
+		}
+	}
+}
+
+static void close_world(struct cellsim *s)
+{
+	struct sim_job *job;
+	struct sim_job *tmp;
+
+	while (s->heap_count) {
+		struct event e = pop(s);
+
+		if (e.kind == SIM_ADVISED)
+			free(e.question);
+	}
+	HASH_ITER(hh, s->jobs, job, tmp) {
+		HASH_DEL(s->jobs, job);
+		free(job->tasks);
+		free(job);
+	}
+	for (uint32_t i = 0; i < s->settings->minions; i++) {
+		free(s->minions[i].runs);
+		free(s->minions[i].ends);
+		free(s->minions[i].past);
+	}
+	cell_free(s->cell);
+	free(s->minions);
+	free(s->records);
+	free(s->heap);
+	free(s->config.queues);
+}
+
+/* Plays a run; the same settings give the same result, except cpu_ns. */
+void cellsim_run(const struct cellsim_settings *settings,
+		 struct cellsim_result *result)
+{
+	struct cellsim s = { .settings = settings, .result = result };
+	double cores = (double)settings->cpu_milli * settings->minions / 1000;
+
+	*result = (struct cellsim_result){ 0 };
+	open_world(&s);
+	while (s.heap_count && s.heap[0].at_ms < settings->run_ms) {
+		struct event e = pop(&s);
+
+		s.now = e.at_ms;
+		dispatch(&s, &e);
+	}
+	judge(&s);
+	result->used_share = (double)s.used_core_ms /
+			     (cores * (settings->submit_ms - START_MS));
+	close_world(&s);
+}
--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -64,23 +64,31 @@
 	return NULL;
 }
 
-static bool is_refused(const struct cell_step *step, uint32_t minion)
+/* Returns true if the advice has answered for this life of the minion. */
+static bool is_answered(struct cell_step *step, const struct cell_minion *m)
 {
-	return minion < step->refused_size && step->refused[minion];
+	const struct cell_grant *g = cell_grant_find(step, m->handle);
+
+	if (m->handle < step->refused_size &&
+	    step->refused[m->handle] == m->life)
+		return true;
+	return g && g->life == m->life;
 }
 
-static void set_refused(struct cell_step *step, uint32_t minion,
+static void set_refused(struct cell_step *step, const struct cell_minion *m,
 			uint32_t minion_count)
 {
-	if (minion >= step->refused_size) {
-		step->refused = realloc(step->refused, minion_count);
+	if (m->handle >= step->refused_size) {
+		step->refused = realloc(step->refused,
+					minion_count * sizeof(*step->refused));
 		if (!step->refused)
 			abort();
 		memset(step->refused + step->refused_size, 0,
-		       minion_count - step->refused_size);
+		       (minion_count - step->refused_size) *
+			       sizeof(*step->refused));
 		step->refused_size = minion_count;
 	}
-	step->refused[minion] = 1;
+	step->refused[m->handle] = m->life;
 }
 
 struct choice {
@@ -147,9 +155,9 @@
 		for (uint32_t i = 0; i < cell->minion_count; i++) {
 			struct cell_minion *m = cell->minions[i];
 
-			if (is_refused(step, i) ||
+			if (is_answered(step, m) ||
 			    !cell_minion_suits(cell, m, step, queue, now_ms) ||
-			    !can_ever_fit(m, step) || cell_grant_find(step, i))
+			    !can_ever_fit(m, step))
 				continue;
 			out[n++] = (struct choice){
 				.minion = i,
@@ -404,8 +412,8 @@
 			grant(cell, step, m, ticket,
 			      now_ms + queue->advice.valid_ms -
 				      ANSWER_TRAVEL_MS);
-		else if (!cell_grant_find(step, m))
-			set_refused(step, m, cell->minion_count);
+		else
+			set_refused(step, cell->minions[m], cell->minion_count);
 		taken += ticket != NULL;
 		odds->asked++;
 		odds->good += ticket != NULL;
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -52,7 +52,7 @@
 	uint32_t asked_count;
 	uint32_t grant_count;
 	struct cell_grant *grants;
-	uint8_t *refused; /* by minion handle: the advice said no */
+	uint32_t *refused; /* by minion: the life that may not run it */
 	uint32_t refused_size;
 	struct cell_task *tasks;
 };
