Spread the questions for advice, and give the closest lanes to short ones

Load: the quick kinds of the grown deployments under a burst (250 jobs a second). Lanes are ranked by what their answers take beyond the cost; questions name shuffled minions, and as many as add a quarter to their cost.

--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -10,7 +10,7 @@
 #include "platform/decode.h"
 #include "platform/minion.h"
 
-#define TICK_MS 20
+#define TICK_MS 10
 #define READ_TIMEOUT_MS 2000
 #define READ_RETRY_MS 100
 #define TXN_TIMEOUT_MS 700
--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -13,10 +13,14 @@
 /* Grants beyond the tasks to place, since minions fill up meanwhile. */
 #define SPARE_FACTOR 1.5
 #define SPARE_MINIONS 2
+/* What additional minions may add to the cost of a question. */
+#define CHEAP_SHARE 0.25
 /* Share of good minions assumed before anything is known. */
 #define ODDS_FIRST 0.5
 /* Questions of the past that the estimate of the odds remembers. */
 #define ODDS_MEMORY 400
+/* Weight of the latest answer in the travel time of a lane. */
+#define TRAVEL_WEIGHT 0.2
 /* Questions up to this cost use the short lanes, in ms. */
 #define SHORT_COST_MS 60
 /* Questions from this cost on are kept off half of the lanes, in ms. */
@@ -27,6 +31,8 @@
 #define RENEW_MS 200
 /* The answer may have been on its way for this long, in ms. */
 #define ANSWER_TRAVEL_MS 40
+/* Next look for a lane, in ms. */
+#define LANE_RETRY_MS 15
 /* Next question after one that was not answered, in ms. */
 #define ASK_RETRY_MS 100
 
@@ -94,21 +100,37 @@
 struct choice {
 	uint32_t minion;
 	uint32_t fit;
-	uint32_t free_cpu;
+	uint32_t shuffle;
 };
 
 static int by_room(const void *a, const void *b)
 {
 	const struct choice *x = a;
 	const struct choice *y = b;
+	bool x_fits = x->fit > 0;
+	bool y_fits = y->fit > 0;
 
-	if (x->fit != y->fit)
-		return x->fit > y->fit ? -1 : 1;
-	if (x->free_cpu != y->free_cpu)
-		return x->free_cpu > y->free_cpu ? -1 : 1;
+	if (x_fits != y_fits)
+		return x_fits ? -1 : 1;
+	if (x->shuffle != y->shuffle)
+		return x->shuffle < y->shuffle ? -1 : 1;
 	return x->minion < y->minion ? -1 : 1;
 }
 
+/*
+ * Questions that are sent at the same time name different minions: if all named
+ * those with the most room, the first step would leave none to the others.
+ */
+static uint32_t shuffle_key(const struct cell *cell, uint32_t minion)
+{
+	uint64_t h = (cell->stats.questions + 1) * 0x9E3779B97F4A7C15ULL;
+
+	h ^= (minion + 1) * 0xC2B2AE3D27D4EB4FULL;
+	h ^= h >> 29;
+	h *= 0xBF58476D1CE4E5B9ULL;
+	return (uint32_t)(h >> 32);
+}
+
 static bool can_ever_fit(const struct cell_minion *m,
 			 const struct cell_step *step)
 {
@@ -119,10 +141,23 @@
 	       m->info.capacity.gpu >= need.gpu;
 }
 
+/*
+ * Most of the cost of a question is the question itself: so many minions may be
+ * named before the cost has risen by CHEAP_SHARE.
+ */
+static uint32_t cheap_count(const struct cell_advice_spec *advice)
+{
+	double n = CELL_QUESTION_MAX;
+
+	if (advice->per_minion_ms > 0)
+		n = CHEAP_SHARE * advice->decide_ms / advice->per_minion_ms;
+	return n < CELL_QUESTION_MAX ? (uint32_t)n : CELL_QUESTION_MAX;
+}
+
 /*
  * Chooses the minions of a question: known good ones whose ticket runs out and
- * that have room, then unknown ones, those with the most room first, until the
- * expected number of places suffices.
+ * that have room, then unknown ones, those with room first, until the expected
+ * number of places suffices.
  */
 static uint32_t choose(struct cell *cell, struct cell_step *step,
 		       const struct cell_queue_spec *queue, struct choice *out,
@@ -131,6 +166,7 @@
 	double share = odds_share(odds_get(cell, queue->name));
 	double want = cell_step_todo(step) * SPARE_FACTOR + SPARE_MINIONS;
 	double places = 0;
+	uint32_t floor = cheap_count(&queue->advice);
 	uint32_t n = 0;
 	uint32_t unknown = 0;
 	uint32_t kept;
@@ -162,15 +198,14 @@
 			out[n++] = (struct choice){
 				.minion = i,
 				.fit = cell_fit(m, step),
-				.free_cpu = m->info.capacity.cpu_milli -
-					    m->held.cpu_milli,
+				.shuffle = shuffle_key(cell, i),
 			};
 			unknown++;
 		}
 		qsort(out + kept, unknown, sizeof(*out), by_room);
 	}
 	for (uint32_t i = kept; i < n; i++) {
-		if (places >= want || i >= CELL_QUESTION_MAX)
+		if (i >= CELL_QUESTION_MAX || (places >= want && i >= floor))
 			return i;
 		places += share * (out[i].fit ? out[i].fit : 0.3);
 	}
@@ -183,37 +218,64 @@
 	return up >= 3 ? (up + 3) / 4 : 0;
 }
 
-/* Returns the lane that answers soonest, or CELL_NONE while all are behind. */
+static uint64_t lane_wait(const struct cell_lane *lane, uint64_t now_ms)
+{
+	return lane->busy_until_ms > now_ms ? lane->busy_until_ms - now_ms : 0;
+}
+
+/* Returns how many lanes are closer to the service than this one. */
+static uint32_t lane_rank(const struct cell *cell, uint32_t lane)
+{
+	double travel = cell->lanes[lane].travel_ms;
+	uint32_t rank = 0;
+
+	for (uint32_t i = 0; i < cell->lane_count; i++) {
+		const struct cell_lane *other = &cell->lanes[i];
+
+		if (!other->up || i == lane)
+			continue;
+		rank += other->travel_ms < travel ||
+			(other->travel_ms == travel && i < lane);
+	}
+	return rank;
+}
+
+/* Returns true if a question of that cost may use the lane of that rank. */
+static bool lane_serves(uint32_t rank, uint32_t up, uint32_t cost_ms)
+{
+	uint32_t kept = short_lanes(up);
+	uint32_t rest = up - kept;
+
+	if (cost_ms <= SHORT_COST_MS)
+		return !kept || rank < kept;
+	if (rank < kept)
+		return false;
+	/* A third of the other lanes has no long questions. */
+	return cost_ms < LONG_COST_MS || rest <= 2 || rank >= kept + rest / 3;
+}
+
+/*
+ * Returns the lane that answers soonest, or CELL_NONE while all are behind. The
+ * lanes closest to the service are those of short questions.
+ */
 static uint32_t choose_lane(const struct cell *cell, uint32_t cost_ms,
 			    uint64_t now_ms)
 {
 	uint32_t up = 0;
-	uint32_t first = 0;
-	uint32_t end;
-	uint32_t at = 0;
 	uint32_t best = CELL_NONE;
-	uint64_t best_wait = BACKLOG_MS;
+	double best_wait = BACKLOG_MS;
 
 	for (uint32_t i = 0; i < cell->lane_count; i++)
 		up += cell->lanes[i].up;
-	end = up;
-	if (cost_ms > SHORT_COST_MS)
-		end -= short_lanes(up);
-	else if (short_lanes(up))
-		first = up - short_lanes(up);
-	if (cost_ms >= LONG_COST_MS && end > 2)
-		end -= end / 3;
 	for (uint32_t i = 0; i < cell->lane_count; i++) {
-		uint64_t busy = cell->lanes[i].busy_until_ms;
-		uint64_t wait = busy > now_ms ? busy - now_ms : 0;
+		const struct cell_lane *lane = &cell->lanes[i];
+		double wait = (double)lane_wait(lane, now_ms) + lane->travel_ms;
 
-		if (!cell->lanes[i].up)
-			continue;
-		if (at >= first && at < end && wait < best_wait) {
+		if (lane->up && wait < best_wait &&
+		    lane_serves(lane_rank(cell, i), up, cost_ms)) {
 			best = i;
 			best_wait = wait;
 		}
-		at++;
 	}
 	return best;
 }
@@ -261,6 +323,9 @@
 
 	if (step->asking || now_ms < step->ask_after_ms || !cell->lane_count)
 		return false;
+	if (choose_lane(cell, (uint32_t)queue->advice.decide_ms, now_ms) ==
+	    CELL_NONE)
+		return false;
 	choices = malloc((cell->minion_count + CELL_QUESTION_MAX) *
 			 sizeof(*choices));
 	if (!choices)
@@ -275,6 +340,7 @@
 			      queue->advice.per_minion_ms * n);
 	lane = choose_lane(cell, cost, now_ms);
 	if (lane == CELL_NONE) {
+		step->ask_after_ms = now_ms + LANE_RETRY_MS;
 		free(choices);
 		return false;
 	}
@@ -303,6 +369,7 @@
 	if (cell->lanes[lane].busy_until_ms < now_ms)
 		cell->lanes[lane].busy_until_ms = now_ms;
 	cell->lanes[lane].busy_until_ms += cost;
+	q->due_ms = cell->lanes[lane].busy_until_ms;
 	cell->lanes[lane].open++;
 	step->asking = true;
 	step->asked_count++;
@@ -351,6 +418,12 @@
 	if (q->lane >= cell->lane_count)
 		return;
 	lane = &cell->lanes[q->lane];
+	if (q->due_ms && now_ms >= q->sent_ms)
+		lane->travel_ms += TRAVEL_WEIGHT *
+				   ((now_ms > q->due_ms ?
+					     (double)(now_ms - q->due_ms) :
+					     0) -
+				    lane->travel_ms);
 	if (lane->open)
 		lane->open--;
 	if (!lane->open)
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -9,6 +9,9 @@
 #define RUNS_PER_TERM_BITS 22
 /* Between two searches for jobs that may be forgotten, in ms. */
 #define TIDY_MS 5000
+/* With more ready steps than this, passes are at least BUSY_MS apart, in ms. */
+#define BUSY_STEPS 12
+#define BUSY_MS 6
 /* Tickets run out without an event, so passes have at most this gap, in ms. */
 #define PASS_MS 50
 
@@ -69,7 +72,10 @@
 		cell->tidy_ms = now_ms + TIDY_MS;
 		cell_jobs_tidy(cell, now_ms);
 	}
-	if (cell->dirty || now_ms >= cell->scheduled_ms + PASS_MS) {
+	if (now_ms >= cell->scheduled_ms +
+			      (!cell->dirty		      ? PASS_MS :
+			       cell->ready_count > BUSY_STEPS ? BUSY_MS :
+								0)) {
 		cell->scheduled_ms = now_ms;
 		cell_schedule(cell, now_ms);
 	}
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -137,6 +137,7 @@
 
 struct cell_lane {
 	bool up;
+	double travel_ms; /* beyond the cost of the questions before */
 	uint64_t busy_until_ms;
 	uint32_t open;
 };
@@ -147,6 +148,7 @@
 	uint32_t lane;
 	uint32_t cost_ms;
 	uint64_t sent_ms;
+	uint64_t due_ms; /* as the costs of the lane say */
 	char step[CELL_TASK_MAX];
 	uint32_t count;
 	uint32_t minions[CELL_QUESTION_MAX];
@@ -173,6 +175,7 @@
 	uint64_t next_run;
 	struct cell_job *jobs; /* by id */
 	uint32_t live_jobs;
+	uint32_t timed_jobs;
 	struct cell_minion **minions;
 	uint32_t minion_count;
 	uint32_t unsettled;
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -309,7 +309,7 @@
 	if (!job->spec.repeat_count)
 		occurrence_add(cell, job, 0, now_ms);
 	else
-		cell_job_timed(cell, unix_ms, now_ms);
+		cell->timed_jobs++;
 	return true;
 }
 
@@ -319,6 +319,8 @@
 	struct cell_job *job;
 	struct cell_job *tmp;
 
+	if (!cell->timed_jobs)
+		return;
 	HASH_ITER(hh, cell->jobs, job, tmp) {
 		if (!job->spec.repeat_count || !job_is_live(job))
 			continue;
@@ -697,6 +699,7 @@
 static void job_free(struct cell *cell, struct cell_job *job)
 {
 	occurrences_free(cell, job);
+	cell->timed_jobs -= job->spec.repeat_count > 0;
 	HASH_DEL(cell->jobs, job);
 	cell_job_spec_free(&job->spec);
 	free(job);
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -330,3 +330,74 @@
 	EXPECT_EQ(f.stops[0].minion_id, "m0");
 	EXPECT_EQ(f.starts.size(), 0U);
 }
+
+/*
+ * Load: many quick jobs at once. Guards against questions that all name the
+ * minions with the most room, where the first job then leaves none to the others
+ * and every step has to ask again.
+ */
+TEST(Advice, QuestionsOfABurstNameDifferentMinions)
+{
+	CellFixture f;
+	struct cell_queue_spec *q = f.queue("q", 0, 2);
+	std::string all;
+	int different = 0;
+
+	q->advice.needed = true;
+	q->advice.decide_ms = 8;
+	q->advice.per_minion_ms = 0.5;
+	q->advice.valid_ms = 2000;
+	cell_replayed(f.cell, f.now);
+	f.minions(40, 8000);
+	for (int i = 0; i < 6; i++)
+		f.submit(CellFixture::job("j" + std::to_string(i), "q", 2, 1000));
+	f.tick();
+	ASSERT_EQ(f.questions.size(), 6U);
+	for (const Question &question : f.questions)
+		different += question.minions != f.questions[0].minions;
+	EXPECT_EQ(different, 5);
+}
+
+/*
+ * Guards against quick questions that wait behind long ones, and against those
+ * that travel to another region and back: they get the lanes that are closest.
+ */
+TEST(Advice, ShortQuestionsUseTheClosestLanes)
+{
+	CellFixture f;
+	struct cell_queue_spec *slow = f.queue("slow", 1, 2);
+	struct cell_queue_spec *quick;
+
+	slow->advice.needed = true;
+	slow->advice.decide_ms = 600;
+	slow->advice.valid_ms = 2000;
+	quick = f.queue("quick", 0, 2);
+	quick->advice.needed = true;
+	quick->advice.decide_ms = 8;
+	quick->advice.valid_ms = 2000;
+	for (uint32_t i = 1; i < 8; i++)
+		cell_lane_up(f.cell, i);
+	cell_replayed(f.cell, f.now);
+	f.minions(4, 8000);
+	for (int round = 0; round < 12; round++) {
+		f.submit(CellFixture::job("a" + std::to_string(round), "quick",
+					  1, 10));
+		f.submit(CellFixture::job("b" + std::to_string(round), "slow",
+					  1, 10));
+		f.tick();
+		f.now += 700;
+		for (const Question &question : f.questions) {
+			/* Lanes 0 and 1 stand in another region. */
+			if (question.lane < 2)
+				f.now += 30;
+			cell_on_advice(f.cell, question.handle, true, nullptr,
+				       0, f.now);
+			if (round > 9 && question.step[0] == 'a')
+				EXPECT_GE(question.lane, 2U);
+			if (round > 9 && question.step[0] == 'b')
+				EXPECT_NE(question.lane, 7U);
+		}
+		f.questions.clear();
+		f.now += 3000;
+	}
+}
