Let jobs that are told again wait until all minions are heard

The former holder had started a quick job 114 ms before its successor did. Cause: daemons tell a new holder again of jobs that they accepted just before; such a job was taken for a new one and started while the minion that ran it had not been heard. Only a job that this daemon's transaction created, told for the first time, is fresh now.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -872,7 +872,7 @@
 	free(e->question);
 }
 
-static void submit_job(struct cellsim *s, const struct sim_job *job)
+static void submit_job(struct cellsim *s, const struct sim_job *job, bool fresh)
 {
 	const struct cellsim_class *c = &s->settings->classes[job->class_index];
 	struct cell_job_spec spec = { .step_count = 1 };
@@ -887,7 +887,7 @@
 	spec.steps[0].need.mem_mb = job->mem_mb;
 	spec.steps[0].estimate_ms = job->work_ms;
 	spec.steps[0].gang = c->gang;
-	cell_submit(s->cell, &spec, UNIX_BASE + s->now, s->now);
+	cell_submit(s->cell, &spec, fresh, UNIX_BASE + s->now, s->now);
 }
 
 static void on_submit(struct cellsim *s, struct event *e)
@@ -909,7 +909,7 @@
 	HASH_ADD_STR(s->jobs, id, job);
 	s->result->jobs++;
 	s->result->of_class[e->minion]++;
-	submit_job(s, job);
+	submit_job(s, job, true);
 	push(s, e, (uint64_t)(2000.0 / c->per_s * draw_share(s)));
 }
 
@@ -946,7 +946,7 @@
 	s->cell = cell_new(&s->owner, &settings, s->now);
 	cell_set_config(s->cell, &s->config);
 	HASH_ITER(hh, s->jobs, job, tmp)
-		submit_job(s, job);
+		submit_job(s, job, false);
 	for (uint32_t i = 0; i < s->record_count; i++) {
 		const struct stored_record *r = &s->records[i];
 		struct cell_record record = { .kind = r->kind,
--- a/jaycelld/accept.c
+++ b/jaycelld/accept.c
@@ -33,6 +33,7 @@
 	struct buf record;
 	bool may_forward;
 	bool maybe_stored; /* a transaction with it had no answer */
+	bool created;	   /* this daemon's transaction stored it */
 	uint64_t since_ms;
 	uint64_t deadline_ms;
 	cd_answered done;
@@ -76,12 +77,13 @@
 	r->record = buf_take(&w->record);
 }
 
-static void tell_holder(struct acceptor *a, const struct buf *record)
+static void tell_holder(struct acceptor *a, const struct buf *record,
+			bool fresh)
 {
 	if (a->d->holder)
-		holder_job(a->d->holder, record->data, record->len);
+		holder_job(a->d->holder, record->data, record->len, fresh);
 	else
-		links_send_job(a->d->links, record);
+		links_send_job(a->d->links, record, fresh);
 }
 
 /* Tells a new holder of the jobs that its predecessor may not have stored. */
@@ -97,7 +99,7 @@
 		if (now > r->at_ms + RECENT_MS)
 			buf_free(&r->record);
 		else
-			tell_holder(a, &r->record);
+			tell_holder(a, &r->record, false);
 	}
 }
 
@@ -111,7 +113,7 @@
 				  "unknown",
 	   (unsigned long long)(now - w->since_ms), w->maybe_stored);
 	if (result == CD_OK) {
-		tell_holder(a, &w->record);
+		tell_holder(a, &w->record, w->created && !w->maybe_stored);
 		remember(a, w, now);
 	}
 	w->done(w->ctx, result, 0);
@@ -201,7 +203,8 @@
 		struct waiting *w = list;
 
 		list = w->next;
-		if (reply->status == PF_OK || exists(reply, w->id))
+		w->created = reply->status == PF_OK;
+		if (w->created || exists(reply, w->id))
 			answer(a, w, CD_OK);
 		else if (failed)
 			not_stored(a, w, reply->status);
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -123,7 +123,8 @@
 uint32_t links_holder_store_age(const struct links *links);
 bool links_send_query(struct links *links, uint32_t ref, enum cd_op op,
 		      const char *text, const struct buf *blob);
-bool links_send_job(struct links *links, const struct buf *record);
+bool links_send_job(struct links *links, const struct buf *record,
+		    bool fresh);
 void links_send_answer(struct links *links, const struct cd_asker *asker,
 		       enum cd_answer answer, uint32_t number);
 bool links_send_question(struct links *links, uint32_t lane,
@@ -155,7 +156,7 @@
 struct holder *holder_new(struct celld *d, uint64_t token);
 void holder_free(struct holder *h);
 bool holder_ready(const struct holder *h);
-void holder_job(struct holder *h, const char *data, size_t len);
+void holder_job(struct holder *h, const char *data, size_t len, bool fresh);
 void holder_query(struct holder *h, const struct cd_asker *asker,
 		  enum cd_op op, const char *text, const struct buf *blob);
 void holder_advice(struct holder *h, uint32_t question, bool answered,
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -379,8 +379,8 @@
 	pf_commit(h->d->store, &txn, TXN_TIMEOUT_MS, on_batch, h);
 }
 
-/* Takes a stored job, as other daemons and the store know it. */
-void holder_job(struct holder *h, const char *data, size_t len)
+/* Takes a stored job; @fresh tells that no earlier holder can know it. */
+void holder_job(struct holder *h, const char *data, size_t len, bool fresh)
 {
 	struct cell_job_spec spec;
 
@@ -388,7 +388,8 @@
 		ev("job-malformed", "bytes=%zu", len);
 		return;
 	}
-	cell_submit(h->cell, &spec, cd_unix_ms(), loop_now_ms());
+	cell_submit(h->cell, &spec, fresh && h->phase == PHASE_READY,
+		    cd_unix_ms(), loop_now_ms());
 }
 
 static void take_jobs(struct holder *h, const struct pf_reply *reply)
@@ -396,7 +397,7 @@
 	for (uint32_t i = 0; i < reply->count; i++) {
 		if (reply->items[i].value)
 			holder_job(h, reply->items[i].value,
-				   reply->items[i].value_len);
+				   reply->items[i].value_len, false);
 	}
 }
 
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -222,14 +222,15 @@
 }
 
 /* Tells the holder of a stored job; returns false if it cannot be told. */
-bool links_send_job(struct links *l, const struct buf *record)
+bool links_send_job(struct links *l, const struct buf *record, bool fresh)
 {
 	struct buf body = { 0 };
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, &body, write_buf);
-	msgpack_pack_array(&pk, 1);
+	msgpack_pack_array(&pk, 2);
 	pack_blob(&pk, record);
+	msgpack_pack_uint32(&pk, fresh);
 	return send_body(l->holder, FRAME_JOB, &body);
 }
 
@@ -487,10 +488,13 @@
 
 static bool on_job(struct links *l, const msgpack_object *f)
 {
-	if (f[0].type != MSGPACK_OBJECT_BIN)
+	uint32_t fresh;
+
+	if (f[0].type != MSGPACK_OBJECT_BIN || !get_u32(&f[1], &fresh))
 		return false;
 	if (l->d->holder)
-		holder_job(l->d->holder, f[0].via.bin.ptr, f[0].via.bin.size);
+		holder_job(l->d->holder, f[0].via.bin.ptr, f[0].via.bin.size,
+			   fresh);
 	return true;
 }
 
@@ -510,7 +514,7 @@
 		f = fields(frame, 4);
 		return f && !link->dialled && on_query(l, link, f);
 	case FRAME_JOB:
-		f = fields(frame, 1);
+		f = fields(frame, 2);
 		return f && !link->dialled && on_job(l, f);
 	case FRAME_ANSWER:
 		f = fields(frame, 3);
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -215,7 +215,7 @@
 void cell_lane_lost(struct cell *cell, uint32_t lane);
 void cell_set_valid(struct cell *cell, bool valid);
 
-bool cell_submit(struct cell *cell, struct cell_job_spec *spec,
+bool cell_submit(struct cell *cell, struct cell_job_spec *spec, bool fresh,
 		 uint64_t unix_ms, uint64_t now_ms);
 void cell_replay(struct cell *cell, const struct cell_record *record);
 void cell_replayed(struct cell *cell, uint64_t now_ms);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -72,7 +72,7 @@
 	uint64_t deadline_unix_ms; /* of its objective */
 	uint64_t known_ms;
 	uint64_t ended_ms;
-	bool inherited; /* accepted before this term */
+	bool inherited; /* an earlier holder may have started it */
 	bool begun;	/* a task has been started */
 	uint32_t occurrence_count;
 	struct cell_occurrence *occurrences;
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -272,9 +272,11 @@
 
 /*
  * Takes a job that is stored, and owns what @spec points to from then on.
- * Returns false, and releases @spec, if the job is known already.
+ * A job is fresh if no other holder can know it; what is not fresh may have been
+ * started by an earlier holder. Returns false, and releases @spec, if the job is
+ * known already.
  */
-bool cell_submit(struct cell *cell, struct cell_job_spec *spec,
+bool cell_submit(struct cell *cell, struct cell_job_spec *spec, bool fresh,
 		 uint64_t unix_ms, uint64_t now_ms)
 {
 	const struct cell_queue_spec *queue = NULL;
@@ -290,7 +292,7 @@
 	job->spec = *spec;
 	*spec = (struct cell_job_spec){ 0 };
 	job->state = CELL_JOB_QUEUED;
-	job->inherited = cell->replaying;
+	job->inherited = !fresh;
 	job->known_ms = now_ms;
 	if (cell->config)
 		queue = cell_config_queue(cell->config, job->spec.queue);
--- a/tests/accept_test.cc
+++ b/tests/accept_test.cc
@@ -55,7 +55,7 @@
 	return 0;
 }
 
-bool links_send_job(struct links *, const struct buf *)
+bool links_send_job(struct links *, const struct buf *, bool)
 {
 	return linked;
 }
@@ -66,7 +66,7 @@
 	forwarded.push_back(text);
 }
 
-void holder_job(struct holder *, const char *, size_t)
+void holder_job(struct holder *, const char *, size_t, bool)
 {
 }
 
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -172,10 +172,10 @@
 		return spec;
 	}
 
-	void submit(struct cell_job_spec spec)
+	void submit(struct cell_job_spec spec, bool fresh = true)
 	{
 		spec.accepted_unix_ms = unix_ms;
-		cell_submit(cell, &spec, unix_ms, now);
+		cell_submit(cell, &spec, fresh, unix_ms, now);
 	}
 
 	void tick(uint64_t ms = 0)
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -64,7 +64,7 @@
 	struct cell_record enrolled = {};
 
 	f.queue("q", 0, 2);
-	f.submit(CellFixture::job("old", "q", 1, 1000));
+	f.submit(CellFixture::job("old", "q", 1, 1000), false);
 	cancel.kind = CELL_RECORD_CANCEL;
 	cancel.job = "old";
 	cell_replay(f.cell, &cancel);
@@ -199,7 +199,7 @@
 	struct cell_record m1 = enrolled_record("m1");
 
 	f.queue("q", 0, 2);
-	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.submit(CellFixture::job("j1", "q", 1, 1000), false);
 	cell_replay(f.cell, &m0);
 	cell_replay(f.cell, &m1);
 	cell_replayed(f.cell, f.now);
@@ -220,7 +220,7 @@
 	struct cell_record end = {};
 
 	f.queue("q", 0, 2);
-	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.submit(CellFixture::job("j1", "q", 1, 1000), false);
 	cell_replay(f.cell, &m0);
 	end.kind = CELL_RECORD_END;
 	end.task = "j1.0.0.0";
@@ -271,7 +271,7 @@
 	struct cell_record gone = enrolled_record("gone");
 
 	f.queue("q", 0, 2);
-	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.submit(CellFixture::job("j1", "q", 1, 1000), false);
 	cell_replay(f.cell, &m0);
 	cell_replay(f.cell, &gone);
 	cell_replayed(f.cell, f.now);
@@ -317,7 +317,7 @@
 
 	spec.steps[0].anti_affinity = 1;
 	f.queue("q", 0, 2);
-	f.submit(spec);
+	f.submit(spec, false);
 	cell_replay(f.cell, &m0);
 	cell_replay(f.cell, &m1);
 	cell_replayed(f.cell, f.now);
@@ -425,3 +425,31 @@
 	ASSERT_EQ(f.starts.size(), 1U);
 	EXPECT_EQ(f.starts[0].task, "quick.0.0.0");
 }
+
+/*
+ * Guards against a job that two holders start: a daemon tells a new holder again
+ * of jobs that it accepted just before, and the former one may have started them
+ * on a minion that the new one has not heard yet.
+ */
+TEST(Cell, AJobThatIsToldAgainWaitsForAllMinions)
+{
+	CellFixture f;
+	struct cell_record m0 = enrolled_record("m0");
+	struct cell_record m1 = enrolled_record("m1");
+
+	f.queue("q", 0, 2);
+	cell_replay(f.cell, &m0);
+	cell_replay(f.cell, &m1);
+	cell_replayed(f.cell, f.now);
+	f.list(2, 8000);
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.submit(CellFixture::job("again", "q", 1, 1000), false);
+	f.submit(CellFixture::job("fresh", "q", 1, 1000), true);
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.starts[0].task, "fresh.0.0.0");
+	f.report(1, "m1", { { "again.0.0.0", 77, "" } }, {});
+	f.tick();
+	EXPECT_EQ(f.starts.size(), 1U);
+}
