--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(foreach d,$(PACKAGES_DIRS),$(wildcard $(d)/*.c))
 TOOL_SRC = $(wildcard jayspoke/*.c)
 CELLD_SRC = $(wildcard jaycelld/*.c) $(wildcard platform/*.c)
-FAKES = fakestore fakelist fakeworker fakeminion loadgen
+FAKES = fakestore fakelist fakeworker fakeminion fakeplatform loadgen
 FAKE_SRC = $(wildcard fakes/*.c)
 BENCH_SRC = $(wildcard bench/*.c)
 C_SRC = $(LIB_SRC) $(COMMON_SRC) $(DAEMON_SRC) $(CELLD_SRC) $(TOOL_SRC) \
@@ -86,7 +86,8 @@
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 FAKE_SHARED = $(call OBJ,$(filter-out $(FAKES:%=fakes/%.c),$(FAKE_SRC)))
-$(FAKES:%=$(B)/%): $(B)/%: $(O)/fakes/%.o $(FAKE_SHARED) $(COMMON) $(LIB)
+$(FAKES:%=$(B)/%): $(B)/%: $(O)/fakes/%.o $(FAKE_SHARED) \
+		$(call OBJ,platform/text.c) $(COMMON) $(LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(B)/tests/%: tests/%.cc $(ARCHIVES)
@@ -179,7 +180,7 @@
 		$(DESTDIR)$(PREFIX)/share/man/man1 \
 		$(DESTDIR)$(PREFIX)/share/man/man5 \
 		$(DESTDIR)$(PREFIX)/share/man/man8
-	install $(B)/jayspoked $(DESTDIR)$(PREFIX)/sbin
+	install $(B)/jayspoked $(B)/jaycelld $(DESTDIR)$(PREFIX)/sbin
 	install $(B)/jayspoke $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
 	install -m 644 $(wildcard lib/*.h) $(DESTDIR)$(PREFIX)/include/jayspoke
--- a/common/httpc.c
+++ b/common/httpc.c
@@ -8,6 +8,8 @@
 #include <h2o/http1client.h>
 #include <h2o/socketpool.h>
 
+#include "addr.h"
+
 /* Backstop for the timers of h2o, which follow the wall clock. */
 #define HTTPC_IO_TIMEOUT_MS 600000
 #define HTTPC_POOL_CAPACITY 4096
@@ -91,26 +93,6 @@
 	return client;
 }
 
-static bool addr_parse(const char *addr, struct sockaddr_in *sin)
-{
-	char host[HTTPC_ADDR_MAX];
-	const char *colon = strrchr(addr, ':');
-	size_t len = colon ? (size_t)(colon - addr) : 0;
-	char *end;
-	long port;
-
-	if (!colon || !len || len >= sizeof(host))
-		return false;
-	memcpy(host, addr, len);
-	host[len] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (*end || end == colon + 1 || port < 1 || port > 65535)
-		return false;
-	*sin = (struct sockaddr_in){ .sin_family = AF_INET,
-				     .sin_port = htons((uint16_t)port) };
-	return inet_pton(AF_INET, host, &sin->sin_addr) == 1;
-}
-
 static struct pool *pool_get(struct httpc *client, const char *addr)
 {
 	struct pool *pool;
@@ -120,7 +102,7 @@
 		if (!pool->retired && !strcmp(pool->addr, addr))
 			return pool;
 	}
-	if (!addr_parse(addr, &sin))
+	if (!addr_parse(addr, &sin) || !sin.sin_port)
 		return NULL;
 	pool = xcalloc(1, sizeof(*pool));
 	strncpy(pool->addr, addr, sizeof(pool->addr) - 1);
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "addr.h"
 #include "buf.h"
 
 #define HTTPD_BACKLOG 512
@@ -117,9 +118,10 @@
 		&req->pool, sizeof(*guard), on_request_disposed);
 	size_t path_len =
 		req->query_at == SIZE_MAX ? req->path.len : req->query_at;
-	const char *colon = memchr(req->authority.base, ':', req->authority.len);
-	size_t host_len = colon ? (size_t)(colon - req->authority.base) :
-				  req->authority.len;
+	const char *colon =
+		memchr(req->authority.base, ':', req->authority.len);
+	size_t host_len = colon ? (size_t)(colon - req->authority.base)
+				: req->authority.len;
 	struct httpd_request request = {
 		.method = pool_string(req, req->method.base, req->method.len),
 		.host = pool_string(req, req->authority.base, host_len),
@@ -154,54 +156,6 @@
 		h2o_accept(&httpd->accept, sock);
 }
 
-static bool parse_addr(const char *addr, struct sockaddr_in *sin)
-{
-	char host[64];
-	const char *colon = strrchr(addr, ':');
-	long port;
-	char *end;
-
-	if (!colon || (size_t)(colon - addr) >= sizeof(host))
-		return false;
-	memcpy(host, addr, (size_t)(colon - addr));
-	host[colon - addr] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (*end || end == colon + 1 || port < 0 || port > 65535)
-		return false;
-	*sin = (struct sockaddr_in){ .sin_family = AF_INET,
-				     .sin_port = htons((uint16_t)port) };
-	return inet_pton(AF_INET, host, &sin->sin_addr) == 1;
-}
-
-static int listen_on(const char *addr, struct err *err)
-{
-	struct sockaddr_in sin;
-	int one = 1;
-	int fd;
-
-	if (!parse_addr(addr, &sin)) {
-		err_set(err, ERR_BAD_REQUEST, "listen %s: not address:port",
-			addr);
-		return -1;
-	}
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0) {
-		err_set(err, ERR_INTERNAL, "listen %s: %s", addr,
-			strerror(errno));
-		return -1;
-	}
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) ||
-	    listen(fd, HTTPD_BACKLOG)) {
-		err_set(err, ERR_INTERNAL, "listen %s: %s", addr,
-			strerror(errno));
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 /*
  * Listens on the address of @settings, whose strings are copied as needed.
  * Returns NULL and fills @err when the address is malformed or in use.
@@ -214,7 +168,7 @@
 	struct handler *handler;
 	struct sockaddr_in sin = { 0 };
 	socklen_t len = sizeof(sin);
-	int fd = listen_on(settings->addr, err);
+	int fd = addr_listen(settings->addr, HTTPD_BACKLOG, err);
 
 	if (fd < 0)
 		return NULL;
--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -227,10 +227,10 @@
 	uint32_t i = s->heap_count++;
 
 	if (s->heap_count > s->heap_capacity) {
-		s->heap_capacity = s->heap_capacity ? s->heap_capacity * 2 :
-						      1024;
-		s->heap = xrealloc(s->heap,
-				   s->heap_capacity * sizeof(*s->heap));
+		s->heap_capacity =
+			s->heap_capacity ? s->heap_capacity * 2 : 1024;
+		s->heap =
+			xrealloc(s->heap, s->heap_capacity * sizeof(*s->heap));
 	}
 	s->heap[i] = *event;
 	s->heap[i].at_ms = s->now + in_ms;
@@ -358,7 +358,8 @@
 static bool is_good(const struct cellsim *s, const char *step,
 		    const char *minion, double share)
 {
-	uint64_t h = s->settings->seed * 1099511628211ULL + 14695981039346656037ULL;
+	uint64_t h =
+		s->settings->seed * 1099511628211ULL + 14695981039346656037ULL;
 
 	for (; *step; step++)
 		h = (h ^ (unsigned char)*step) * 1099511628211ULL;
@@ -403,28 +404,29 @@
 		      const struct cell_record *record)
 {
 	struct cellsim *s = of_owner(owner);
-	struct event e = { .kind = SIM_RECORDED, .token = s->token, .seq = seq };
+	struct event e = { .kind = SIM_RECORDED,
+			   .token = s->token,
+			   .seq = seq };
 	struct stored_record *r;
 
 	if (s->record_count == s->record_capacity) {
-		s->record_capacity = s->record_capacity ?
-					     s->record_capacity * 2 :
-					     1024;
-		s->records = xrealloc(s->records, s->record_capacity *
-							  sizeof(*s->records));
+		s->record_capacity =
+			s->record_capacity ? s->record_capacity * 2 : 1024;
+		s->records = xrealloc(s->records,
+				      s->record_capacity * sizeof(*s->records));
 	}
 	r = &s->records[s->record_count++];
 	*r = (struct stored_record){ .kind = record->kind,
 				     .run = record->run,
 				     .end = record->end };
 	snprintf(r->subject, sizeof(r->subject), "%s",
-		 record->kind == CELL_RECORD_END    ? record->task :
-		 record->kind == CELL_RECORD_CANCEL ? record->job :
-						      record->minion);
+		 record->kind == CELL_RECORD_END      ? record->task
+		 : record->kind == CELL_RECORD_CANCEL ? record->job
+						      : record->minion);
 	e.run = s->record_count; /* records up to here become durable */
 	push(s, &e,
-	     RECORD_MS + (s->outage_until > s->now ? s->outage_until - s->now :
-						     0));
+	     RECORD_MS +
+		     (s->outage_until > s->now ? s->outage_until - s->now : 0));
 }
 
 static void op_event(struct cell_owner *owner, const struct cell_event *e)
@@ -434,9 +436,9 @@
 	if (s->settings->trace)
 		printf("%" PRIu64 " %s %s %s run %" PRIu64 " %s %" PRIu64 "\n",
 		       s->now, e->what,
-		       e->task  ? e->task :
-		       e->job   ? e->job :
-				  "-",
+		       e->task	? e->task
+		       : e->job ? e->job
+				: "-",
 		       e->minion ? e->minion : "-", e->run,
 		       e->detail ? e->detail : "", e->value);
 }
@@ -534,8 +536,8 @@
 		task->done = true;
 		task->was_done = true;
 	} else {
-		s->result->wasted_core_ms += (s->now - run->began_ms) *
-					     job->cpu_milli / 1000;
+		s->result->wasted_core_ms +=
+			(s->now - run->began_ms) * job->cpu_milli / 1000;
 	}
 	if (how == CELL_END_FAILED)
 		count_fail(job, task, gang, run->run);
@@ -593,8 +595,8 @@
 			   .run = run };
 
 	snprintf(e.task, sizeof(e.task), "%s", task);
-	e.result = draw_share(s) < c->fail_share ? CELL_REJECTED_OTHER :
-						   CELL_OK;
+	e.result =
+		draw_share(s) < c->fail_share ? CELL_REJECTED_OTHER : CELL_OK;
 	push(s, &e, around(s, job->work_ms));
 }
 
@@ -633,9 +635,8 @@
 		mem += job->mem_mb;
 	}
 	if (cpu > s->settings->cpu_milli || mem > s->settings->mem_mb)
-		fault(s, &s->result->over_capacity, "%s holds %" PRIu64
-			 " thousandths of a core",
-		      m->id, cpu);
+		fault(s, &s->result->over_capacity,
+		      "%s holds %" PRIu64 " thousandths of a core", m->id, cpu);
 }
 
 static void check_start(struct cellsim *s, struct sim_job *job,
@@ -862,8 +863,7 @@
 		if (is_good(s, e->question->step, e->question->minions[i],
 			    c->advice_good))
 			good[n++] = (struct cell_ticket){
-				.minion = e->question->minions[i],
-				.ticket = "t"
+				.minion = e->question->minions[i], .ticket = "t"
 			};
 	}
 	if (e->token == s->token)
@@ -946,7 +946,7 @@
 	s->cell = cell_new(&s->owner, &settings, s->now);
 	cell_set_config(s->cell, &s->config);
 	HASH_ITER(hh, s->jobs, job, tmp)
-		submit_job(s, job, false);
+	submit_job(s, job, false);
 	for (uint32_t i = 0; i < s->record_count; i++) {
 		const struct stored_record *r = &s->records[i];
 		struct cell_record record = { .kind = r->kind,
@@ -1235,12 +1235,13 @@
 	struct sim_job *job;
 	struct sim_job *tmp;
 
-	HASH_ITER(hh, s->jobs, job, tmp) {
+	HASH_ITER(hh, s->jobs, job, tmp)
+	{
 		const struct cellsim_class *c =
 			&s->settings->classes[job->class_index];
 		enum cell_job_state state = cell_state(s->cell, job->id);
-		uint64_t goal = c->slo_ms +
-				(uint64_t)(c->stretch * job->work_ms);
+		uint64_t goal =
+			c->slo_ms + (uint64_t)(c->stretch * job->work_ms);
 
 		if (state == CELL_JOB_COMPLETED) {
 			s->result->completed++;
@@ -1269,7 +1270,8 @@
 		if (e.kind == SIM_ADVISED)
 			free(e.question);
 	}
-	HASH_ITER(hh, s->jobs, job, tmp) {
+	HASH_ITER(hh, s->jobs, job, tmp)
+	{
 		HASH_DEL(s->jobs, job);
 		free(job->tasks);
 		free(job);
--- a/fakes/cellsim.h
+++ b/fakes/cellsim.h
@@ -1,6 +1,7 @@
 /*
  * A cell in virtual time: minions, advice, store and callers around the real
- * scheduler, with seeded faults. It checks what must never happen while it runs.
+ * scheduler, with seeded faults. It checks what must never happen while it
+ * runs.
  */
 #ifndef JAYSPOKE_CELLSIM_H
 #define JAYSPOKE_CELLSIM_H
@@ -48,8 +49,8 @@
 	uint32_t dark_every_ms;	  /* a minion does not answer for 1 to 8 s */
 	uint32_t crash_every_ms;  /* a minion loses all runs */
 	uint32_t outage_every_ms; /* the store takes no records for 1 to 4 s */
-	bool trace; /* print the events of the scheduler */
-	double lost_share;	  /* of the orders: done, or done late, unanswered */
+	bool trace;		  /* print the events of the scheduler */
+	double lost_share; /* of the orders: done, or done late, unanswered */
 };
 
 struct cellsim_result {
@@ -60,7 +61,7 @@
 	uint32_t of_class[8];
 	uint32_t starts;
 	uint32_t takeovers;
-	uint32_t alone;	   /* ends of gangs that did not come together */
+	uint32_t alone; /* ends of gangs that did not come together */
 	uint64_t wasted_core_ms;
 	double used_share; /* of the processors, while jobs are submitted */
 	uint64_t cpu_ns;   /* spent in the scheduler */
--- /dev/null
+++ b/fakes/fakeplatform.c
@@ -0,0 +1,72 @@
+/*
+ * A platform in one process: the first port is its store, the second the advice
+ * service, and each further one a minion.
+ */
+#include <stdio.h>
+
+#include "err.h"
+#include "platform.h"
+
+#define BODY_MAX (8U << 20)
+#define STORE_PORT 0
+#define ADVICE_PORT 1
+#define FIRST_MINION_PORT 2
+
+struct platform {
+	struct loop *loop;
+	struct fake *fake;
+	struct platform_kv *kv;
+	struct platform_minions *minions;
+};
+
+static void handle(void *ctx, const struct fake_request *request)
+{
+	struct platform *p = ctx;
+
+	if (request->port == STORE_PORT)
+		platform_kv_handle(p->kv, request);
+	else if (request->port == ADVICE_PORT)
+		platform_advise(p->minions, request);
+	else
+		platform_minions_handle(p->minions, request);
+}
+
+static json_t *observe(void *ctx)
+{
+	const struct platform *p = ctx;
+
+	return json_pack("{s:o,s:o}", "store", platform_kv_observe(p->kv),
+			 "minions", platform_minions_observe(p->minions));
+}
+
+int main(int argc, char **argv)
+{
+	struct fake_listen_args args = fake_listen_args();
+	void *table[] = { args.listen, args.base_port, args.count, arg_end(8) };
+	struct platform p = { .loop = loop_new() };
+	struct fake_settings settings = {
+		.program = "fakeplatform",
+		.observe_path = "/stats",
+		.max_body = BODY_MAX,
+		.handler = handle,
+		.observe = observe,
+		.ctx = &p,
+	};
+	struct err err = { 0 };
+
+	fake_parse_args(argc, argv, table);
+	p.kv = platform_kv_new(p.loop);
+	p.minions = platform_minions_new(p.loop, p.kv);
+	p.fake = fake_new(p.loop, &settings);
+	if (!fake_listen(p.fake, &args, &err)) {
+		fprintf(stderr, "fakeplatform: %s\n", err.text);
+		return 1;
+	}
+	if (fake_port_count(p.fake) <= FIRST_MINION_PORT) {
+		fputs("fakeplatform: needs at least three ports\n", stderr);
+		return 1;
+	}
+	platform_kv_open(p.kv, p.fake);
+	platform_minions_open(p.minions, p.fake, FIRST_MINION_PORT);
+	return fake_run(p.fake);
+}
--- /dev/null
+++ b/fakes/platform.h
@@ -0,0 +1,30 @@
+/* Parts of the test double of a platform: its store, minions and advice. */
+#ifndef JAYSPOKE_FAKES_PLATFORM_H
+#define JAYSPOKE_FAKES_PLATFORM_H
+
+#include "fake.h"
+
+struct platform_kv;
+struct platform_minions;
+
+/* platform_kv.c: key-value store with transactions, leases and watches. */
+struct platform_kv *platform_kv_new(struct loop *loop);
+void platform_kv_open(struct platform_kv *kv, struct fake *fake);
+void platform_kv_handle(struct platform_kv *kv,
+			const struct fake_request *request);
+void platform_kv_put(struct platform_kv *kv, const char *key, json_t *value);
+void platform_kv_remove(struct platform_kv *kv, const char *key);
+json_t *platform_kv_observe(const struct platform_kv *kv);
+
+/* platform_minion.c: minions, each on a port, and the advice service. */
+struct platform_minions *platform_minions_new(struct loop *loop,
+					      struct platform_kv *kv);
+void platform_minions_open(struct platform_minions *minions, struct fake *fake,
+			   uint32_t first_port);
+void platform_minions_handle(struct platform_minions *minions,
+			     const struct fake_request *request);
+void platform_advise(struct platform_minions *minions,
+		     const struct fake_request *request);
+json_t *platform_minions_observe(const struct platform_minions *minions);
+
+#endif
--- /dev/null
+++ b/fakes/platform_kv.c
@@ -0,0 +1,550 @@
+/*
+ * Key-value store of the platform's test double: one revision counter,
+ * transactions under conditions, leases and long polls.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "buf.h"
+#include "platform.h"
+#include "platform/text.h"
+
+#define KEY_MAX 256
+#define PAGE_ITEMS 500
+#define LEASE_TICK_MS 50
+#define HISTORY_MAX 20000
+#define WAIT_MAX_MS 30000
+
+struct item {
+	char key[KEY_MAX];
+	char *value; /* base64 */
+	uint64_t revision;
+	uint64_t created;
+	uint64_t lease;
+	UT_hash_handle hh;
+};
+
+struct change {
+	uint64_t revision;
+	char key[KEY_MAX];
+	char *value; /* NULL: deleted */
+};
+
+struct lease {
+	uint64_t id;
+	uint32_t ttl_ms;
+	uint64_t until_ms;
+	UT_hash_handle hh;
+};
+
+struct watch {
+	struct platform_kv *kv;
+	uint64_t call;
+	char prefix[KEY_MAX];
+	uint64_t after;
+	struct timer timer;
+	struct watch *next;
+};
+
+struct platform_kv {
+	struct loop *loop;
+	struct fake *fake;
+	uint64_t revision;
+	struct item *items;
+	struct change *history;
+	uint32_t history_count;
+	uint64_t compacted; /* changes up to here are forgotten */
+	struct lease *leases;
+	uint64_t next_lease;
+	struct watch *watches;
+	struct timer tick;
+	uint64_t calls;
+	uint64_t commits;
+	uint64_t conflicts;
+};
+
+static json_t *item_json(const struct item *item)
+{
+	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "key", item->key, "value",
+			 item->value, "revision", (json_int_t)item->revision,
+			 "created", (json_int_t)item->created, "lease",
+			 (json_int_t)item->lease);
+}
+
+static bool has_prefix(const char *key, const char *prefix)
+{
+	return !strncmp(key, prefix, strlen(prefix));
+}
+
+static json_t *events_after(const struct platform_kv *kv, const char *prefix,
+			    uint64_t after)
+{
+	json_t *events = json_array();
+
+	for (uint32_t i = 0; i < kv->history_count; i++) {
+		const struct change *c = &kv->history[i];
+
+		if (c->revision <= after || !has_prefix(c->key, prefix))
+			continue;
+		if (c->value)
+			json_array_append_new(
+				events,
+				json_pack("{s:s,s:s,s:I}", "key", c->key,
+					  "value", c->value, "revision",
+					  (json_int_t)c->revision));
+		else
+			json_array_append_new(events,
+					      json_pack("{s:s,s:I,s:b}", "key",
+							c->key, "revision",
+							(json_int_t)c->revision,
+							"deleted", 1));
+	}
+	return events;
+}
+
+static void watch_end(struct watch *watch, json_t *events)
+{
+	struct platform_kv *kv = watch->kv;
+	struct watch **link = &kv->watches;
+
+	while (*link != watch)
+		link = &(*link)->next;
+	*link = watch->next;
+	timer_stop(kv->loop, &watch->timer);
+	fake_answer_json(kv->fake, watch->call, 200, NULL,
+			 json_pack("{s:o,s:I}", "events", events, "as_of",
+				   (json_int_t)kv->revision));
+	free(watch);
+}
+
+static void on_watch_timer(struct timer *timer)
+{
+	watch_end(timer->ctx, json_array());
+}
+
+static void wake_watches(struct platform_kv *kv)
+{
+	struct watch *watch = kv->watches;
+
+	while (watch) {
+		struct watch *next = watch->next;
+		json_t *events = events_after(kv, watch->prefix, watch->after);
+
+		if (json_array_size(events))
+			watch_end(watch, events);
+		else
+			json_decref(events);
+		watch = next;
+	}
+}
+
+static void note(struct platform_kv *kv, const char *key, const char *value)
+{
+	struct change *c;
+
+	if (kv->history_count == HISTORY_MAX) {
+		uint32_t half = HISTORY_MAX / 2;
+
+		kv->compacted = kv->history[half - 1].revision;
+		for (uint32_t i = 0; i < half; i++)
+			free(kv->history[i].value);
+		memmove(kv->history, kv->history + half,
+			half * sizeof(*kv->history));
+		kv->history_count = half;
+	}
+	kv->history = xrealloc(kv->history,
+			       (kv->history_count + 1) * sizeof(*kv->history));
+	c = &kv->history[kv->history_count++];
+	*c = (struct change){ .revision = kv->revision,
+			      .value = value ? strdup(value) : NULL };
+	snprintf(c->key, sizeof(c->key), "%s", key);
+}
+
+static void item_put(struct platform_kv *kv, const char *key, const char *value,
+		     uint64_t lease)
+{
+	struct item *item;
+
+	HASH_FIND_STR(kv->items, key, item);
+	if (!item) {
+		item = xcalloc(1, sizeof(*item));
+		snprintf(item->key, sizeof(item->key), "%s", key);
+		item->created = kv->revision;
+		HASH_ADD_STR(kv->items, key, item);
+	}
+	free(item->value);
+	item->value = strdup(value);
+	item->revision = kv->revision;
+	item->lease = lease;
+	note(kv, key, value);
+}
+
+static void item_remove(struct platform_kv *kv, const char *key)
+{
+	struct item *item;
+
+	HASH_FIND_STR(kv->items, key, item);
+	if (!item)
+		return;
+	note(kv, key, NULL);
+	HASH_DEL(kv->items, item);
+	free(item->value);
+	free(item);
+}
+
+/* Writes a key as the operator or a minion does; the value's reference is
+ * taken.
+ */
+void platform_kv_put(struct platform_kv *kv, const char *key, json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+	char *encoded = pf_base64_encode(text, strlen(text));
+
+	kv->revision++;
+	item_put(kv, key, encoded, 0);
+	free(encoded);
+	free(text);
+	json_decref(value);
+	wake_watches(kv);
+}
+
+/* Removes a key, if it exists. */
+void platform_kv_remove(struct platform_kv *kv, const char *key)
+{
+	kv->revision++;
+	item_remove(kv, key);
+	wake_watches(kv);
+}
+
+static void unescape(char *s)
+{
+	char *out = s;
+
+	for (; *s; s++) {
+		char hex[3] = { 0 };
+
+		if (*s == '%' && s[1] && s[2]) {
+			memcpy(hex, s + 1, 2);
+			*out++ = (char)strtoul(hex, NULL, 16);
+			s += 2;
+		} else {
+			*out++ = *s;
+		}
+	}
+	*out = '\0';
+}
+
+static void get_param(const struct fake_request *request, const char *name,
+		      char *value)
+{
+	value[0] = '\0';
+	httpd_query(&request->http, name, value, KEY_MAX);
+	unescape(value);
+}
+
+static void handle_key(struct platform_kv *kv,
+		       const struct fake_request *request)
+{
+	char key[KEY_MAX];
+	struct item *item;
+	json_t *body;
+
+	get_param(request, "key", key);
+	HASH_FIND_STR(kv->items, key, item);
+	body = item ? item_json(item) : json_object();
+	json_object_set_new(body, "as_of",
+			    json_integer((json_int_t)kv->revision));
+	fake_answer_json(kv->fake, request->id, item ? 200 : 404, NULL, body);
+}
+
+static int by_key(struct item *a, struct item *b)
+{
+	return strcmp(a->key, b->key);
+}
+
+static void handle_range(struct platform_kv *kv,
+			 const struct fake_request *request)
+{
+	char prefix[KEY_MAX];
+	char after[KEY_MAX];
+	json_t *items = json_array();
+	bool more = false;
+
+	get_param(request, "prefix", prefix);
+	get_param(request, "after", after);
+	HASH_SORT(kv->items, by_key);
+	for (struct item *item = kv->items; item; item = item->hh.next) {
+		if (!has_prefix(item->key, prefix) ||
+		    (after[0] && strcmp(item->key, after) <= 0))
+			continue;
+		if (json_array_size(items) == PAGE_ITEMS) {
+			more = true;
+			break;
+		}
+		json_array_append_new(items, item_json(item));
+	}
+	fake_answer_json(kv->fake, request->id, 200, NULL,
+			 json_pack("{s:o,s:b,s:I}", "items", items,
+				   "more_pages", more, "as_of",
+				   (json_int_t)kv->revision));
+}
+
+static void handle_watch(struct platform_kv *kv,
+			 const struct fake_request *request)
+{
+	char text[KEY_MAX];
+	struct watch *watch;
+	uint64_t wait_ms;
+	json_t *events;
+
+	get_param(request, "after", text);
+	watch = xcalloc(1, sizeof(*watch));
+	watch->kv = kv;
+	watch->call = request->id;
+	watch->after = strtoull(text, NULL, 10);
+	get_param(request, "prefix", watch->prefix);
+	get_param(request, "wait_ms", text);
+	wait_ms = strtoull(text, NULL, 10);
+	if (watch->after < kv->compacted) {
+		fake_answer_error(kv->fake, request->id, 410, "compacted");
+		free(watch);
+		return;
+	}
+	watch->next = kv->watches;
+	kv->watches = watch;
+	watch->timer = (struct timer){ .fn = on_watch_timer, .ctx = watch };
+	events = events_after(kv, watch->prefix, watch->after);
+	if (json_array_size(events)) {
+		watch_end(watch, events);
+		return;
+	}
+	json_decref(events);
+	timer_start(kv->loop, &watch->timer,
+		    wait_ms < WAIT_MAX_MS ? wait_ms : WAIT_MAX_MS);
+}
+
+static const char *text_of(const json_t *row, const char *name)
+{
+	const char *text = json_string_value(json_object_get(row, name));
+
+	return text ? text : "";
+}
+
+static bool conditions_hold(struct platform_kv *kv, const json_t *expect,
+			    json_t *found)
+{
+	bool ok = true;
+
+	for (size_t i = 0; i < json_array_size(expect); i++) {
+		const json_t *row = json_array_get(expect, i);
+		const char *key = text_of(row, "key");
+		json_int_t want =
+			json_integer_value(json_object_get(row, "revision"));
+		struct item *item;
+
+		HASH_FIND_STR(kv->items, key, item);
+		if ((item ? (json_int_t)item->revision : 0) != want)
+			ok = false;
+		json_array_append_new(found,
+				      item ? item_json(item)
+					   : json_pack("{s:s,s:i}", "key", key,
+						       "revision", 0));
+	}
+	return ok;
+}
+
+static bool lease_exists(struct platform_kv *kv, uint64_t id)
+{
+	struct lease *lease;
+
+	HASH_FIND(hh, kv->leases, &id, sizeof(id), lease);
+	return !id || lease;
+}
+
+static void commit(struct platform_kv *kv, const json_t *puts,
+		   const json_t *removes)
+{
+	kv->revision++;
+	kv->commits++;
+	for (size_t i = 0; i < json_array_size(puts); i++) {
+		const json_t *row = json_array_get(puts, i);
+
+		item_put(kv, text_of(row, "key"), text_of(row, "value"),
+			 (uint64_t)json_integer_value(
+				 json_object_get(row, "lease")));
+	}
+	for (size_t i = 0; i < json_array_size(removes); i++)
+		item_remove(kv, json_string_value(json_array_get(removes, i)));
+}
+
+static void handle_txn(struct platform_kv *kv,
+		       const struct fake_request *request)
+{
+	json_t *body =
+		json_loadb(request->http.body, request->http.body_len, 0, NULL);
+	const json_t *puts = json_object_get(body, "puts");
+	json_t *found = json_array();
+
+	for (size_t i = 0; i < json_array_size(puts); i++) {
+		const json_t *lease =
+			json_object_get(json_array_get(puts, i), "lease");
+
+		if (!lease_exists(kv, (uint64_t)json_integer_value(lease))) {
+			fake_answer_error(kv->fake, request->id, 404,
+					  "no such lease");
+			goto out;
+		}
+	}
+	if (!conditions_hold(kv, json_object_get(body, "expect"), found)) {
+		kv->conflicts++;
+		fake_answer_json(kv->fake, request->id, 412, NULL,
+				 json_pack("{s:O}", "items", found));
+		goto out;
+	}
+	commit(kv, puts, json_object_get(body, "remove"));
+	fake_may_lose_answer(kv->fake, request->id);
+	fake_answer_json(
+		kv->fake, request->id, 200, NULL,
+		json_pack("{s:I}", "revision", (json_int_t)kv->revision));
+	wake_watches(kv);
+out:
+	json_decref(found);
+	json_decref(body);
+}
+
+static void handle_lease(struct platform_kv *kv,
+			 const struct fake_request *request)
+{
+	json_t *body =
+		json_loadb(request->http.body, request->http.body_len, 0, NULL);
+	struct lease *lease = xcalloc(1, sizeof(*lease));
+
+	lease->id = ++kv->next_lease;
+	lease->ttl_ms =
+		(uint32_t)json_integer_value(json_object_get(body, "ttl_ms"));
+	lease->until_ms = loop_now_ms() + lease->ttl_ms;
+	HASH_ADD(hh, kv->leases, id, sizeof(lease->id), lease);
+	fake_answer_json(kv->fake, request->id, 200, NULL,
+			 json_pack("{s:I,s:I}", "lease", (json_int_t)lease->id,
+				   "ttl_ms", (json_int_t)lease->ttl_ms));
+	json_decref(body);
+}
+
+static void handle_keep(struct platform_kv *kv,
+			const struct fake_request *request)
+{
+	uint64_t id =
+		strtoull(request->http.path + strlen("/kv-keep/"), NULL, 10);
+	struct lease *lease;
+
+	HASH_FIND(hh, kv->leases, &id, sizeof(id), lease);
+	if (!lease) {
+		fake_answer_error(kv->fake, request->id, 404, "no such lease");
+		return;
+	}
+	lease->until_ms = loop_now_ms() + lease->ttl_ms;
+	fake_answer_json(
+		kv->fake, request->id, 200, NULL,
+		json_pack("{s:I}", "ttl_ms", (json_int_t)lease->ttl_ms));
+}
+
+static void expire(struct platform_kv *kv, struct lease *lease)
+{
+	struct item *item;
+	struct item *tmp;
+
+	HASH_DEL(kv->leases, lease);
+	HASH_ITER(hh, kv->items, item, tmp)
+	{
+		if (item->lease == lease->id)
+			platform_kv_remove(kv, item->key);
+	}
+	free(lease);
+}
+
+static void on_tick(struct timer *timer)
+{
+	struct platform_kv *kv = timer->ctx;
+	struct lease *lease;
+	struct lease *tmp;
+
+	HASH_ITER(hh, kv->leases, lease, tmp)
+	{
+		if (loop_now_ms() > lease->until_ms)
+			expire(kv, lease);
+	}
+	timer_start(kv->loop, &kv->tick, LEASE_TICK_MS);
+}
+
+/* The operator writes a key: PUT /op?key=..., with the value as the body. */
+static void handle_operator(struct platform_kv *kv,
+			    const struct fake_request *request)
+{
+	json_t *value =
+		json_loadb(request->http.body, request->http.body_len, 0, NULL);
+	char key[KEY_MAX];
+
+	get_param(request, "key", key);
+	if (!value) {
+		fake_answer_error(kv->fake, request->id, 400, "not JSON");
+		return;
+	}
+	platform_kv_put(kv, key, value);
+	fake_answer_json(
+		kv->fake, request->id, 200, NULL,
+		json_pack("{s:I}", "revision", (json_int_t)kv->revision));
+}
+
+/* Serves one call to the store. */
+void platform_kv_handle(struct platform_kv *kv,
+			const struct fake_request *request)
+{
+	const char *path = request->http.path;
+
+	kv->calls++;
+	if (!strcmp(path, "/kv-key"))
+		handle_key(kv, request);
+	else if (!strcmp(path, "/kv-range"))
+		handle_range(kv, request);
+	else if (!strcmp(path, "/kv-watch"))
+		handle_watch(kv, request);
+	else if (!strcmp(path, "/kv-txn"))
+		handle_txn(kv, request);
+	else if (!strcmp(path, "/kv-lease"))
+		handle_lease(kv, request);
+	else if (!strncmp(path, "/kv-keep/", strlen("/kv-keep/")))
+		handle_keep(kv, request);
+	else if (!strcmp(path, "/op"))
+		handle_operator(kv, request);
+	else
+		fake_answer_error(kv->fake, request->id, 400, "no such call");
+}
+
+/* Returns what the store has counted. */
+json_t *platform_kv_observe(const struct platform_kv *kv)
+{
+	return json_pack(
+		"{s:I,s:I,s:I,s:I,s:i}", "revision", (json_int_t)kv->revision,
+		"calls", (json_int_t)kv->calls, "commits",
+		(json_int_t)kv->commits, "conflicts", (json_int_t)kv->conflicts,
+		"items", (int)HASH_COUNT(kv->items));
+}
+
+struct platform_kv *platform_kv_new(struct loop *loop)
+{
+	struct platform_kv *kv = xcalloc(1, sizeof(*kv));
+
+	kv->loop = loop;
+	kv->tick = (struct timer){ .fn = on_tick, .ctx = kv };
+	return kv;
+}
+
+/* Answers through @fake from now on. */
+void platform_kv_open(struct platform_kv *kv, struct fake *fake)
+{
+	kv->fake = fake;
+	timer_start(kv->loop, &kv->tick, LEASE_TICK_MS);
+}
--- a/jaycelld/accept.c
+++ b/jaycelld/accept.c
@@ -13,7 +13,8 @@
 /* Jobs of the last seconds are told to a new holder again, in ms. */
 #define RECENT_MS 12000
 #define RECENT_MAX 4096
-/* The final answer leaves this long before the deadline of its caller, in ms. */
+/* The final answer leaves this long before the deadline of its caller, in ms.
+ */
 #define ANSWER_MARGIN_MS 150
 /* How long the holder may take to store a job for this daemon, in ms. */
 #define FORWARD_MS 1300
@@ -108,9 +109,9 @@
 	uint64_t now = loop_now_ms();
 
 	ev("accept", "id=%s result=%s waited_ms=%llu maybe_stored=%d", w->id,
-	   result == CD_OK	? "stored" :
-	   result == CD_REFUSED ? "not-run" :
-				  "unknown",
+	   result == CD_OK	  ? "stored"
+	   : result == CD_REFUSED ? "not-run"
+				  : "unknown",
 	   (unsigned long long)(now - w->since_ms), w->maybe_stored);
 	if (result == CD_OK) {
 		tell_holder(a, &w->record, w->created && !w->maybe_stored);
@@ -152,9 +153,9 @@
 	if (w->maybe_stored && result != CD_OK)
 		result = CD_UNKNOWN;
 	ev("accept", "id=%s result=%s via=holder waited_ms=%llu", w->id,
-	   result == CD_OK	? "stored" :
-	   result == CD_REFUSED ? "not-run" :
-				  "unknown",
+	   result == CD_OK	  ? "stored"
+	   : result == CD_REFUSED ? "not-run"
+				  : "unknown",
 	   (unsigned long long)(loop_now_ms() - w->since_ms));
 	w->done(w->ctx, result, 0);
 	buf_free(&w->record);
--- a/jaycelld/asks.c
+++ b/jaycelld/asks.c
@@ -36,8 +36,8 @@
 	struct timer tick;
 };
 
-static void finish(struct asks *asks, struct question *q,
-		   enum cd_answer answer, uint32_t number)
+static void finish(struct asks *asks, struct question *q, enum cd_answer answer,
+		   uint32_t number)
 {
 	cd_answered done = q->done;
 	void *ctx = q->ctx;
@@ -80,8 +80,8 @@
 	while (i < asks->count && asks->slots[i]->ref)
 		i++;
 	if (i == asks->count) {
-		asks->slots = xrealloc(asks->slots, (asks->count + 1) *
-							    sizeof(q));
+		asks->slots =
+			xrealloc(asks->slots, (asks->count + 1) * sizeof(q));
 		asks->slots[asks->count++] = xcalloc(1, sizeof(*q));
 	}
 	q = asks->slots[i];
@@ -139,15 +139,16 @@
 		if (!q->ref)
 			continue;
 		if (now_ms >= q->deadline_ms) {
-			ev("ask-timeout", "op=%u text=%s waited_ms=%llu "
-					  "sent=%d linked=%d",
+			ev("ask-timeout",
+			   "op=%u text=%s waited_ms=%llu "
+			   "sent=%d linked=%d",
 			   q->op, q->text,
 			   (unsigned long long)(now_ms - q->since_ms), q->sent,
 			   links_up(asks->d->links));
 			finish(asks, q,
-			       q->op == CD_OP_STATE || q->op == CD_OP_PENDING ?
-				       CD_RETRY :
-				       CD_UNKNOWN,
+			       q->op == CD_OP_STATE || q->op == CD_OP_PENDING
+				       ? CD_RETRY
+				       : CD_UNKNOWN,
 			       0);
 		} else if (now_ms >= q->send_ms) {
 			dispatch(asks, q, now_ms);
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -55,10 +55,10 @@
 
 enum cd_answer {
 	CD_OK,
-	CD_GONE,	/* no such job */
-	CD_RETRY,	/* the holder is not ready */
-	CD_REFUSED,	/* not done, for certain */
-	CD_UNKNOWN,	/* it may have been done */
+	CD_GONE,    /* no such job */
+	CD_RETRY,   /* the holder is not ready */
+	CD_REFUSED, /* not done, for certain */
+	CD_UNKNOWN, /* it may have been done */
 	CD_ANSWERS
 };
 
@@ -123,8 +123,7 @@
 uint32_t links_holder_store_age(const struct links *links);
 bool links_send_query(struct links *links, uint32_t ref, enum cd_op op,
 		      const char *text, const struct buf *blob);
-bool links_send_job(struct links *links, const struct buf *record,
-		    bool fresh);
+bool links_send_job(struct links *links, const struct buf *record, bool fresh);
 void links_send_answer(struct links *links, const struct cd_asker *asker,
 		       enum cd_answer answer, uint32_t number);
 bool links_send_question(struct links *links, uint32_t lane,
@@ -134,8 +133,8 @@
 uint32_t links_missing(const struct links *links, uint64_t now_ms);
 void links_announce(struct links *links);
 bool links_store_unreachable(const struct links *links, uint64_t now_ms);
-bool links_store_seen(const struct links *links, uint64_t term,
-		      uint64_t now_ms, uint64_t *seen_ms);
+bool links_store_seen(const struct links *links, uint64_t term, uint64_t now_ms,
+		      uint64_t *seen_ms);
 void links_tick(struct links *links, uint64_t now_ms);
 
 /* terms.c: who is the holder. */
@@ -157,8 +156,8 @@
 void holder_free(struct holder *h);
 bool holder_ready(const struct holder *h);
 void holder_job(struct holder *h, const char *data, size_t len, bool fresh);
-void holder_query(struct holder *h, const struct cd_asker *asker,
-		  enum cd_op op, const char *text, const struct buf *blob);
+void holder_query(struct holder *h, const struct cd_asker *asker, enum cd_op op,
+		  const char *text, const struct buf *blob);
 void holder_advice(struct holder *h, uint32_t question, bool answered,
 		   const struct cell_ticket *good, uint32_t count);
 void holder_lane_up(struct holder *h, uint32_t lane);
--- a/jaycelld/conf.c
+++ b/jaycelld/conf.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <arpa/inet.h>
 #include <jansson.h>
 
+#include "addr.h"
 #include "celld.h"
 
 enum setting_type {
@@ -24,10 +24,10 @@
 	size_t offset;
 };
 
-#define SETTING(member, kind)                                  \
-	{                                                      \
-		.key = #member, .type = SETTING_##kind,        \
-		.offset = offsetof(struct cd_conf, member),    \
+#define SETTING(member, kind)                               \
+	{                                                   \
+		.key = #member, .type = SETTING_##kind,     \
+		.offset = offsetof(struct cd_conf, member), \
 	}
 
 static const struct setting settings[] = {
@@ -52,19 +52,9 @@
 
 static bool is_addr(const char *text)
 {
-	char host[INET_ADDRSTRLEN];
-	const char *colon = strrchr(text, ':');
-	struct in_addr in;
-	char *end;
-	long port;
+	struct sockaddr_in sin;
 
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
-		return false;
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	return end != colon + 1 && !*end && port > 0 && port <= 65535 &&
-	       inet_pton(AF_INET, host, &in) == 1;
+	return addr_parse(text, &sin) && sin.sin_port;
 }
 
 static bool read_text(void *to, size_t size, const json_t *v)
@@ -138,7 +128,8 @@
 			at.column, body ? "not an object" : at.text);
 		goto out;
 	}
-	json_object_foreach(body, key, value) {
+	json_object_foreach(body, key, value)
+	{
 		if (!is_known(key)) {
 			err_set(err, ERR_BAD_REQUEST, "%s: %s: unknown key",
 				file, key);
@@ -181,7 +172,7 @@
 	len = fread(text, 1, sizeof(text), in);
 	fclose(in);
 	if (len == sizeof(text))
-		return err_set(err, ERR_BAD_REQUEST, "%s: larger than %zu bytes",
-			       file, sizeof(text));
+		return err_set(err, ERR_BAD_REQUEST,
+			       "%s: larger than %zu bytes", file, sizeof(text));
 	return conf_parse_text(conf, file, text, len, err);
 }
--- a/jaycelld/config.c
+++ b/jaycelld/config.c
@@ -89,9 +89,9 @@
 		   reply->status, reply->took_ms,
 		   reply->error ? reply->error : "");
 	timer_start(c->d->loop, &c->retry,
-		    reply->status == PF_GONE || reply->status == PF_UNKNOWN ?
-			    0 :
-			    RETRY_MS);
+		    reply->status == PF_GONE || reply->status == PF_UNKNOWN
+			    ? 0
+			    : RETRY_MS);
 }
 
 static void watch(struct config_watch *c)
--- a/jaycelld/entry.c
+++ b/jaycelld/entry.c
@@ -96,8 +96,9 @@
 		ctr_add(c->entry->accepted, 1);
 		reply(c, 200, NULL, "{}");
 	} else if (answer == CD_REFUSED) {
-		reply_error(c, 503, "the store does not take the job; "
-				    "it has not run");
+		reply_error(c, 503,
+			    "the store does not take the job; "
+			    "it has not run");
 	} else {
 		reply_error(c, 504, "the job may have been stored");
 	}
@@ -169,7 +170,8 @@
 
 static bool is_job_id(const char *text)
 {
-	return strlen(text) == 16 && strspn(text, "0123456789abcdefABCDEF") == 16;
+	return strlen(text) == 16 &&
+	       strspn(text, "0123456789abcdefABCDEF") == 16;
 }
 
 static void serve(struct caller *c, const struct cell_queue_spec *queue)
@@ -186,8 +188,9 @@
 		return;
 	}
 	if (!is_job_id(rest)) {
-		reply_error(c, 400, "the path does not end in a job id of 16 "
-				    "hexadecimal digits");
+		reply_error(c, 400,
+			    "the path does not end in a job id of 16 "
+			    "hexadecimal digits");
 		return;
 	}
 	snprintf(c->id, sizeof(c->id), "%s", rest);
@@ -317,10 +320,9 @@
 static struct httpd *open_port(struct entry *e, const char *addr,
 			       httpd_handler handler, struct err *err)
 {
-	struct httpd_settings settings = { .addr = addr,
-					   .max_body = BODY_MAX,
-					   .handler = handler,
-					   .ctx = e };
+	struct httpd_settings settings = {
+		.addr = addr, .max_body = BODY_MAX, .handler = handler, .ctx = e
+	};
 
 	return httpd_new(e->d->loop, &settings, err);
 }
@@ -332,11 +334,12 @@
 	bool ok = false;
 
 	e->d = d;
-	e->requests = ctr_counter("jaycelld_requests_total",
-				  "Requests of callers.");
+	e->requests =
+		ctr_counter("jaycelld_requests_total", "Requests of callers.");
 	e->accepted = ctr_counter("jaycelld_accepted_total", "Jobs accepted.");
-	e->refused = ctr_counter("jaycelld_errors_total",
-				 "Answers to callers with status 400 or above.");
+	e->refused =
+		ctr_counter("jaycelld_errors_total",
+			    "Answers to callers with status 400 or above.");
 	e->submit_us = ctr_histogram("jaycelld_submit_seconds",
 				     "Time to store a job.");
 	e->state_us = ctr_histogram("jaycelld_state_seconds",
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -138,8 +138,8 @@
 	return (struct holder *)owner;
 }
 
-static void on_start(void *ctx, uint32_t minion, const char *task,
-		     uint64_t run, enum cell_result result)
+static void on_start(void *ctx, uint32_t minion, const char *task, uint64_t run,
+		     enum cell_result result)
 {
 	struct holder *h = ctx;
 
@@ -245,8 +245,8 @@
 		h->queue_count = live;
 	}
 	if (h->queue_count == h->queue_capacity) {
-		h->queue_capacity = h->queue_capacity ? h->queue_capacity * 2 :
-							256;
+		h->queue_capacity =
+			h->queue_capacity ? h->queue_capacity * 2 : 256;
 		h->queue = xrealloc(h->queue,
 				    h->queue_capacity * sizeof(*h->queue));
 	}
@@ -258,11 +258,12 @@
 static void op_event(struct cell_owner *owner, const struct cell_event *e)
 {
 	(void)owner;
-	ev(e->what, "id=%s minion=%s run=%llu detail=\"%s\" age_ms=%llu "
-		    "value=%llu",
-	   e->task  ? e->task :
-	   e->job   ? e->job :
-		      "-",
+	ev(e->what,
+	   "id=%s minion=%s run=%llu detail=\"%s\" age_ms=%llu "
+	   "value=%llu",
+	   e->task  ? e->task
+	   : e->job ? e->job
+		    : "-",
 	   e->minion ? e->minion : "-", (unsigned long long)e->run,
 	   e->detail ? e->detail : "", (unsigned long long)e->age_ms,
 	   (unsigned long long)e->value);
@@ -412,8 +413,9 @@
 	cell_replayed(h->cell, now);
 	cell_get_stats(h->cell, &stats);
 	ctr_observe(h->recovery_us, (now - h->began_ms) * 1000);
-	ev("holder-ready", "token=%llu jobs=%u live=%u unsettled=%u "
-			   "took_ms=%llu",
+	ev("holder-ready",
+	   "token=%llu jobs=%u live=%u unsettled=%u "
+	   "took_ms=%llu",
 	   (unsigned long long)h->token, stats.jobs, stats.live_jobs,
 	   stats.unsettled, (unsigned long long)(now - h->began_ms));
 	asks_holder_changed(h->d->asks);
@@ -511,9 +513,9 @@
 static void poll_jobs(struct holder *h, uint64_t now)
 {
 	h->jobs_polling = true;
-	h->jobs_poll_ms = now + (links_missing(h->d->links, now) ?
-					 JOBS_POLL_SOON_MS :
-					 JOBS_POLL_MS);
+	h->jobs_poll_ms =
+		now + (links_missing(h->d->links, now) ? JOBS_POLL_SOON_MS
+						       : JOBS_POLL_MS);
 	h->calls++;
 	if (h->jobs_as_of)
 		pf_watch(h->d->store, CD_JOB_PREFIX, h->jobs_as_of, 1, on_jobs,
@@ -546,8 +548,8 @@
 				     &h->infos[h->info_count], &err))
 			h->info_count++;
 		else
-			ev("entry-malformed", "key=%s revision=%llu",
-			   item->key, (unsigned long long)item->revision);
+			ev("entry-malformed", "key=%s revision=%llu", item->key,
+			   (unsigned long long)item->revision);
 	}
 	if (reply->more && reply->count && h->info_count < MINIONS_MAX) {
 		poll_minions(h, reply->items[reply->count - 1].key);
@@ -590,9 +592,7 @@
 
 	if (!call_returned(h)) {
 		cd_answer(d, &l->asker, CD_RETRY, 0);
-	} else if (reply->status == PF_MISSING) {
-		cd_answer(d, &l->asker, CD_GONE, 0);
-	} else if (reply->status != PF_OK || !reply->count) {
+	} else if (reply->status != PF_OK && reply->status != PF_MISSING) {
 		cd_answer(d, &l->asker, CD_RETRY, 0);
 	} else {
 		take_jobs(h, reply);
@@ -665,8 +665,8 @@
 }
 
 /* Answers a question of this or another daemon, now or later. */
-void holder_query(struct holder *h, const struct cd_asker *asker,
-		  enum cd_op op, const char *text, const struct buf *blob)
+void holder_query(struct holder *h, const struct cd_asker *asker, enum cd_op op,
+		  const char *text, const struct buf *blob)
 {
 	if (h->phase != PHASE_READY) {
 		cd_answer(h->d, asker, CD_RETRY, 0);
@@ -694,8 +694,7 @@
 void holder_advice(struct holder *h, uint32_t question, bool answered,
 		   const struct cell_ticket *good, uint32_t count)
 {
-	cell_on_advice(h->cell, question, answered, good, count,
-		       loop_now_ms());
+	cell_on_advice(h->cell, question, answered, good, count, loop_now_ms());
 }
 
 /* Another daemon can ask for advice, on that lane. */
@@ -758,8 +757,7 @@
 		.hold_wait_ms = LOOK_WAIT_MS,
 		.stop_timeout_ms = d->conf.stop_timeout_ms,
 		/* Clocks of minions may be slow by 2%. */
-		.predecessor_ms = PREDECESSOR_MS +
-				  d->conf.lease_ms * 100 / 98,
+		.predecessor_ms = PREDECESSOR_MS + d->conf.lease_ms * 100 / 98,
 		.status_ms = d->conf.status_s * 1000,
 	};
 
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -2,15 +2,13 @@
  * Connections between daemons. Each follower dials the holder; questions,
  * answers, stored jobs and regular states travel on that one connection.
  */
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
-#include <arpa/inet.h>
 #include <msgpack.h>
 
+#include "addr.h"
 #include "celld.h"
 #include "peer/link.h"
 
@@ -41,7 +39,7 @@
 };
 
 struct follower {
-	struct link *link; /* NULL: the slot is free */
+	struct link *link;	 /* NULL: the slot is free */
 	char name[MSG_NAME_MAX]; /* of the latest daemon in the slot */
 	uint64_t lost_ms;	 /* when its connection was lost */
 	uint32_t generation;
@@ -97,8 +95,8 @@
 
 static bool send_body(struct link *link, enum frame_type type, struct buf *body)
 {
-	bool sent = link && link->state == LINK_UP &&
-		    link_send(link, type, body);
+	bool sent =
+		link && link->state == LINK_UP && link_send(link, type, body);
 
 	buf_free(body);
 	return sent;
@@ -367,8 +365,8 @@
 		if (f[3].via.bin.size)
 			blob = buf_copy(f[3].via.bin.ptr, f[3].via.bin.size);
 		if (l->d->holder)
-			holder_query(l->d->holder, &asker, (enum cd_op)op,
-				     text, &blob);
+			holder_query(l->d->holder, &asker, (enum cd_op)op, text,
+				     &blob);
 		else
 			links_send_answer(l, &asker, CD_RETRY, 0);
 		buf_free(&blob);
@@ -508,8 +506,8 @@
 		f = fields(frame, 5);
 		if (!f)
 			return false;
-		return link->dialled ? on_holder_state(l, f) :
-				       on_follower_state(l, link, f);
+		return link->dialled ? on_holder_state(l, f)
+				     : on_follower_state(l, link, f);
 	case FRAME_QUERY:
 		f = fields(frame, 4);
 		return f && !link->dialled && on_query(l, link, f);
@@ -558,8 +556,8 @@
 	uint64_t now = loop_now_ms();
 	uint32_t i = 0;
 
-	while (i < l->follower_count && strcmp(l->followers[i].name,
-					       link->peer.id) != 0)
+	while (i < l->follower_count &&
+	       strcmp(l->followers[i].name, link->peer.id) != 0)
 		i++;
 	if (i < l->follower_count && l->followers[i].link)
 		link_close(l->followers[i].link, "replaced");
@@ -728,48 +726,21 @@
 		link_accept(&l->env, sock);
 }
 
-static bool listen_on(struct links *l, struct err *err)
-{
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	const char *addr = l->d->conf.listen_peers;
-	char host[INET_ADDRSTRLEN];
-	const char *colon = strrchr(addr, ':');
-	int one = 1;
-	int fd = -1;
-
-	snprintf(host, sizeof(host), "%.*s", (int)(colon - addr), addr);
-	sin.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	inet_pton(AF_INET, host, &sin.sin_addr);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		goto fail;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) ||
-	    listen(fd, BACKLOG))
-		goto fail;
-	l->listener = h2o_evloop_socket_create(loop_h2o(l->d->loop), fd,
-					       H2O_SOCKET_FLAG_DONT_READ);
-	l->listener->data = l;
-	h2o_socket_read_start(l->listener, on_accept);
-	return true;
-fail:
-	err_set(err, ERR_INTERNAL, "listen %s: %s", addr, strerror(errno));
-	if (fd >= 0)
-		close(fd);
-	return false;
-}
-
 /* Listens for followers; @secret is that of the cell, CD_KEY_LEN bytes. */
 struct links *links_new(struct celld *d, const unsigned char *secret,
 			struct err *err)
 {
-	struct links *l = xcalloc(1, sizeof(*l));
+	struct links *l;
+	int fd = addr_listen(d->conf.listen_peers, BACKLOG, err);
 
-	l->d = d;
-	if (!listen_on(l, err)) {
-		free(l);
+	if (fd < 0)
 		return NULL;
-	}
+	l = xcalloc(1, sizeof(*l));
+	l->d = d;
+	l->listener = h2o_evloop_socket_create(loop_h2o(d->loop), fd,
+					       H2O_SOCKET_FLAG_DONT_READ);
+	l->listener->data = l;
+	h2o_socket_read_start(l->listener, on_accept);
 	l->env = (struct link_env){ .loop = d->loop,
 				    .ops = &link_ops,
 				    .ctx = l,
--- a/jaycelld/main.c
+++ b/jaycelld/main.c
@@ -195,8 +195,7 @@
 
 	s->drain_ms = now;
 	d->draining = true;
-	ev("drain", "grace_s=%u holder=%d", d->conf.grace_s,
-	   d->holder != NULL);
+	ev("drain", "grace_s=%u holder=%d", d->conf.grace_s, d->holder != NULL);
 	if (!d->entry)
 		return;
 	entry_drain(d->entry);
@@ -261,8 +260,7 @@
 	s.poll = (struct timer){ .fn = on_poll, .ctx = &s };
 	s.secret_retry = (struct timer){ .fn = on_secret_retry, .ctx = &s };
 	ev("start", "az=%s region=%s callers=%s peers=%s store=%s", conf->az,
-	   conf->region, conf->listen_callers, conf->listen_peers,
-	   conf->store);
+	   conf->region, conf->listen_callers, conf->listen_peers, conf->store);
 	timer_start(d->loop, &s.poll, POLL_MS);
 	read_secret(&s);
 	loop_run(d->loop);
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -173,8 +173,7 @@
 }
 
 /* Decodes a job, for cell_job_spec_free(); returns false if it is malformed. */
-bool record_unpack_job(const char *data, size_t len,
-		       struct cell_job_spec *spec)
+bool record_unpack_job(const char *data, size_t len, struct cell_job_spec *spec)
 {
 	msgpack_unpacked unpacked;
 	bool ok;
@@ -211,8 +210,8 @@
 	}
 	msgpack_pack_uint64(&pk, record->run);
 	msgpack_pack_uint32(&pk, record->end);
-	pack_text(&pk, record->kind == CELL_RECORD_END ? record->saved :
-							 record->addr);
+	pack_text(&pk, record->kind == CELL_RECORD_END ? record->saved
+						       : record->addr);
 }
 
 /* Appends a batch of records that were encoded one after the other. */
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -33,8 +33,8 @@
 struct terms {
 	struct celld *d;
 	uint64_t as_of;
-	bool read; /* the keys have been read at least once */
-	uint64_t seen;	 /* revision of the holder's key, 0: none */
+	bool read;	  /* the keys have been read at least once */
+	uint64_t seen;	  /* revision of the holder's key, 0: none */
 	uint64_t seen_ms; /* when it was first seen */
 	char holder[CELL_NAME_MAX];
 	char addr[CELL_ADDR_MAX];
@@ -194,9 +194,9 @@
 	if (reply->status != PF_OK) {
 		timer_start(t->d->loop, &t->retry,
 			    reply->status == PF_GONE ||
-					    reply->status == PF_UNKNOWN ?
-				    0 :
-				    READ_RETRY_MS);
+					    reply->status == PF_UNKNOWN
+				    ? 0
+				    : READ_RETRY_MS);
 		return;
 	}
 	take_items(t, reply);
--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -397,8 +397,8 @@
 	struct cell_grant *g = cell_grant_find(step, minion);
 
 	if (!g) {
-		step->grants = realloc(step->grants, (step->grant_count + 1) *
-							     sizeof(*g));
+		step->grants = realloc(step->grants,
+				       (step->grant_count + 1) * sizeof(*g));
 		if (!step->grants)
 			abort();
 		g = &step->grants[step->grant_count++];
@@ -419,11 +419,11 @@
 		return;
 	lane = &cell->lanes[q->lane];
 	if (q->due_ms && now_ms >= q->sent_ms)
-		lane->travel_ms += TRAVEL_WEIGHT *
-				   ((now_ms > q->due_ms ?
-					     (double)(now_ms - q->due_ms) :
-					     0) -
-				    lane->travel_ms);
+		lane->travel_ms +=
+			TRAVEL_WEIGHT *
+			((now_ms > q->due_ms ? (double)(now_ms - q->due_ms)
+					     : 0) -
+			 lane->travel_ms);
 	if (lane->open)
 		lane->open--;
 	if (!lane->open)
@@ -465,9 +465,9 @@
 	if (!step)
 		return;
 	step->asking = false;
-	queue = cell->config ? cell_config_queue(cell->config,
-						 step->job->spec.queue) :
-			       NULL;
+	queue = cell->config
+			? cell_config_queue(cell->config, step->job->spec.queue)
+			: NULL;
 	if (!answered || !queue) {
 		step->ask_after_ms = now_ms + ASK_RETRY_MS;
 		return;
@@ -505,8 +505,8 @@
 void cell_lane_up(struct cell *cell, uint32_t lane)
 {
 	if (lane >= cell->lane_count) {
-		cell->lanes = realloc(cell->lanes,
-				      (lane + 1) * sizeof(*cell->lanes));
+		cell->lanes =
+			realloc(cell->lanes, (lane + 1) * sizeof(*cell->lanes));
 		if (!cell->lanes)
 			abort();
 		for (uint32_t i = cell->lane_count; i <= lane; i++)
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -72,10 +72,10 @@
 		cell->tidy_ms = now_ms + TIDY_MS;
 		cell_jobs_tidy(cell, now_ms);
 	}
-	if (now_ms >= cell->scheduled_ms +
-			      (!cell->dirty		      ? PASS_MS :
-			       cell->ready_count > BUSY_STEPS ? BUSY_MS :
-								0)) {
+	if (now_ms >= cell->scheduled_ms + (!cell->dirty ? PASS_MS
+					    : cell->ready_count > BUSY_STEPS
+						    ? BUSY_MS
+						    : 0)) {
 		cell->scheduled_ms = now_ms;
 		cell_schedule(cell, now_ms);
 	}
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -118,12 +118,12 @@
 };
 
 struct cell_settings {
-	uint64_t token;		   /* fencing token of this term */
-	uint32_t lease_ms;	   /* granted to running tasks */
-	uint32_t hold_wait_ms;	   /* of a look that waits for an end */
-	uint32_t stop_timeout_ms;  /* a stop takes at most this long */
-	uint32_t predecessor_ms;   /* how long an earlier holder's runs last */
-	uint32_t status_ms;	   /* how long ended jobs stay known */
+	uint64_t token;		  /* fencing token of this term */
+	uint32_t lease_ms;	  /* granted to running tasks */
+	uint32_t hold_wait_ms;	  /* of a look that waits for an end */
+	uint32_t stop_timeout_ms; /* a stop takes at most this long */
+	uint32_t predecessor_ms;  /* how long an earlier holder's runs last */
+	uint32_t status_ms;	  /* how long ended jobs stay known */
 };
 
 /* A minion as it was listed by the platform. */
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -15,8 +15,8 @@
 };
 
 struct cell_task {
-	uint64_t run;	    /* of the latest start, 0: none */
-	uint64_t *ended;    /* runs whose end was handled, in any order */
+	uint64_t run;	 /* of the latest start, 0: none */
+	uint64_t *ended; /* runs whose end was handled, in any order */
 	uint32_t ended_count;
 	uint64_t progress_ms;
 	uint32_t minion;    /* of the latest start */
@@ -40,8 +40,8 @@
 	const struct cell_step_spec *spec;
 	uint32_t occurrence;
 	uint32_t index;
-	uint32_t left;	 /* tasks that are not done */
-	uint32_t active; /* tasks with a run */
+	uint32_t left;	       /* tasks that are not done */
+	uint32_t active;       /* tasks with a run */
 	uint64_t *gang_failed; /* runs of the gang that failed */
 	uint32_t gang_failed_count;
 	uint64_t opened_ms;
@@ -85,7 +85,7 @@
 	struct cell_res held;
 	uint64_t sent_ms;
 	uint64_t acked_ms; /* 0: no answer yet */
-	bool foreign; /* its job is not known */
+	bool foreign;	   /* its job is not known */
 	bool stopping;
 	bool stop_in_flight;
 	uint64_t stop_after_ms; /* next attempt */
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -6,9 +6,9 @@
 #include "cell/cell_int.h"
 
 static const char *const state_names[CELL_JOB_STATES] = {
-	[CELL_JOB_UNKNOWN] = "unknown",	    [CELL_JOB_QUEUED] = "queued",
-	[CELL_JOB_RUNNING] = "running",	    [CELL_JOB_COMPLETED] = "completed",
-	[CELL_JOB_FAILED] = "failed",	    [CELL_JOB_CANCELLED] = "cancelled",
+	[CELL_JOB_UNKNOWN] = "unknown", [CELL_JOB_QUEUED] = "queued",
+	[CELL_JOB_RUNNING] = "running", [CELL_JOB_COMPLETED] = "completed",
+	[CELL_JOB_FAILED] = "failed",	[CELL_JOB_CANCELLED] = "cancelled",
 };
 
 static const char *const end_names[CELL_ENDS] = {
@@ -154,7 +154,8 @@
 static bool job_is_live(const struct cell_job *job)
 {
 	return job->final == CELL_JOB_UNKNOWN &&
-	       (job->state == CELL_JOB_QUEUED || job->state == CELL_JOB_RUNNING);
+	       (job->state == CELL_JOB_QUEUED ||
+		job->state == CELL_JOB_RUNNING);
 }
 
 /* Opens the steps whose predecessors are done. */
@@ -272,9 +273,9 @@
 
 /*
  * Takes a job that is stored, and owns what @spec points to from then on.
- * A job is fresh if no other holder can know it; what is not fresh may have been
- * started by an earlier holder. Returns false, and releases @spec, if the job is
- * known already.
+ * A job is fresh if no other holder can know it; what is not fresh may have
+ * been started by an earlier holder. Returns false, and releases @spec, if the
+ * job is known already.
  */
 bool cell_submit(struct cell *cell, struct cell_job_spec *spec, bool fresh,
 		 uint64_t unix_ms, uint64_t now_ms)
@@ -323,7 +324,8 @@
 
 	if (!cell->timed_jobs)
 		return;
-	HASH_ITER(hh, cell->jobs, job, tmp) {
+	HASH_ITER(hh, cell->jobs, job, tmp)
+	{
 		if (!job->spec.repeat_count || !job_is_live(job))
 			continue;
 		while (job->occurrence_count < job->spec.repeat_count &&
@@ -362,11 +364,11 @@
 	job->state = job->final;
 	job->ended_ms = now_ms;
 	cell->live_jobs--;
-	cell_event(cell, &(struct cell_event){
-				 .what = "job-ended",
-				 .job = job->spec.id,
-				 .detail = state_names[job->state],
-				 .age_ms = now_ms - job->known_ms });
+	cell_event(cell,
+		   &(struct cell_event){ .what = "job-ended",
+					 .job = job->spec.id,
+					 .detail = state_names[job->state],
+					 .age_ms = now_ms - job->known_ms });
 	occurrences_free(cell, job);
 }
 
@@ -436,10 +438,10 @@
 	}
 	decide(cell, job, CELL_JOB_CANCELLED, now_ms);
 	job->unrecorded++;
-	cell_event(cell, &(struct cell_event){ .what = "job-cancelled",
-					       .job = id,
-					       .age_ms = now_ms -
-							 job->known_ms });
+	cell_event(cell,
+		   &(struct cell_event){ .what = "job-cancelled",
+					 .job = id,
+					 .age_ms = now_ms - job->known_ms });
 	job->cancel_seq = cell_record_add(
 		cell,
 		&(struct cell_record){ .kind = CELL_RECORD_CANCEL, .job = id },
@@ -655,7 +657,8 @@
 	struct cell_job *tmp;
 
 	cell->replaying = false;
-	HASH_ITER(hh, cell->jobs, job, tmp) {
+	HASH_ITER(hh, cell->jobs, job, tmp)
+	{
 		cell_job_settle(cell, job, now_ms);
 		if (!job_is_live(job))
 			continue;
@@ -690,7 +693,8 @@
 	struct cell_job *tmp;
 	uint32_t n = 0;
 
-	HASH_ITER(hh, cell->jobs, job, tmp) {
+	HASH_ITER(hh, cell->jobs, job, tmp)
+	{
 		if (job->state == CELL_JOB_QUEUED && !job->begun &&
 		    job_is_live(job) && !strcmp(job->spec.queue, queue))
 			n++;
@@ -713,7 +717,8 @@
 	struct cell_job *job;
 	struct cell_job *tmp;
 
-	HASH_ITER(hh, cell->jobs, job, tmp) {
+	HASH_ITER(hh, cell->jobs, job, tmp)
+	{
 		if (job->ended_ms &&
 		    now_ms > job->ended_ms + cell->settings.status_ms)
 			job_free(cell, job);
@@ -726,5 +731,5 @@
 	struct cell_job *tmp;
 
 	HASH_ITER(hh, cell->jobs, job, tmp)
-		job_free(cell, job);
+	job_free(cell, job);
 }
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -169,15 +169,17 @@
 	return m->anchor_clock_ms + (now_ms - m->anchor_ms);
 }
 
-/* Extends the lease of the minion; returns its new end on the minion's clock. */
+/* Extends the lease of the minion; returns its new end on the minion's clock.
+ */
 uint64_t cell_minion_deadline(struct cell *cell, struct cell_minion *m,
 			      uint64_t now_ms)
 {
 	uint64_t deadline = minion_clock(m, now_ms) + cell->settings.lease_ms;
 	uint64_t span = deadline - m->anchor_clock_ms;
-	uint64_t until = m->anchor_ms + span +
-			 span * CLOCK_SLOW_PERCENT / (100 - CLOCK_SLOW_PERCENT) +
-			 LEASE_MARGIN_MS;
+	uint64_t until =
+		m->anchor_ms + span +
+		span * CLOCK_SLOW_PERCENT / (100 - CLOCK_SLOW_PERCENT) +
+		LEASE_MARGIN_MS;
 
 	if (until > m->lease_until_ms)
 		m->lease_until_ms = until;
@@ -258,10 +260,9 @@
 {
 	if (m->info.draining != info->draining)
 		cell_event(cell,
-			   &(struct cell_event){
-				   .what = "minion-draining",
-				   .minion = info->id,
-				   .value = info->draining });
+			   &(struct cell_event){ .what = "minion-draining",
+						 .minion = info->id,
+						 .value = info->draining });
 	m->info = *info;
 	m->listed = true;
 }
@@ -287,9 +288,9 @@
 		if (!m) {
 			m = minion_new(cell, infos[i].id);
 			m->look_at_ms = now_ms;
-			cell_event(cell,
-				   &(struct cell_event){ .what = "minion-new",
-							 .minion = infos[i].id });
+			cell_event(cell, &(struct cell_event){
+						 .what = "minion-new",
+						 .minion = infos[i].id });
 		}
 		merge_info(cell, m, &infos[i]);
 	}
@@ -373,13 +374,13 @@
 		cell_observe(cell, m, end->number);
 		return;
 	}
-	cell_event(cell, &(struct cell_event){ .what = "run-ended",
-					       .task = end->task,
-					       .minion = m->info.id,
-					       .run = end->run,
-					       .detail = cell_end_name(
-						       end->end),
-					       .age_ms = lasted });
+	cell_event(cell,
+		   &(struct cell_event){ .what = "run-ended",
+					 .task = end->task,
+					 .minion = m->info.id,
+					 .run = end->run,
+					 .detail = cell_end_name(end->end),
+					 .age_ms = lasted });
 	if (cell_task_parse(end->task, &name))
 		job = cell_job_find(cell, name.job);
 	if (job)
@@ -449,8 +450,7 @@
 		return;
 	if (task && task->state == CELL_TASK_READY &&
 	    step->job->final == CELL_JOB_UNKNOWN &&
-	    !cell_task_ended(task, row->run) &&
-	    row->run >= task->run) {
+	    !cell_task_ended(task, row->run) && row->run >= task->run) {
 		task->state = CELL_TASK_ACTIVE;
 		task->run = row->run;
 		task->minion = m->handle;
@@ -475,8 +475,7 @@
 	struct cell_step *step;
 	struct cell_task *task = cell_task_find(cell, row->task, &step);
 
-	if (run && run->foreign &&
-	    cell_step_spec_find(cell, row->task)) {
+	if (run && run->foreign && cell_step_spec_find(cell, row->task)) {
 		cell_run_drop(cell, m, (uint32_t)(run - m->runs));
 		run = NULL;
 	}
@@ -631,12 +630,11 @@
 			r->acked_ms = now_ms;
 		return;
 	}
-	cell_event(cell, &(struct cell_event){
-				 .what = "start-unanswered",
-				 .task = task,
-				 .minion = m->info.id,
-				 .run = run,
-				 .value = (uint64_t)result });
+	cell_event(cell, &(struct cell_event){ .what = "start-unanswered",
+					       .task = task,
+					       .minion = m->info.id,
+					       .run = run,
+					       .value = (uint64_t)result });
 	if (result != CELL_NO_ANSWER) {
 		if (result == CELL_NOT_SENT || result == CELL_OTHER_LIFE)
 			m->failing = true;
@@ -670,8 +668,7 @@
 		r->stop_after_ms = now_ms + STOP_RETRY_MS;
 }
 
-static void tick_runs(struct cell *cell, struct cell_minion *m,
-		      uint64_t now_ms)
+static void tick_runs(struct cell *cell, struct cell_minion *m, uint64_t now_ms)
 {
 	for (uint32_t i = 0; i < m->run_count; i++) {
 		struct cell_run *run = &m->runs[i];
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -65,9 +65,9 @@
 	if (spec->anti_affinity) {
 		uint32_t here = runs_of_step(m, step);
 
-		n = min_u32(n, spec->anti_affinity > here ?
-				       spec->anti_affinity - here :
-				       0);
+		n = min_u32(n, spec->anti_affinity > here
+				       ? spec->anti_affinity - here
+				       : 0);
 	}
 	return min_u32(n, spec->count);
 }
@@ -166,8 +166,8 @@
 				    .minion_id = m->info.id,
 				    .run = run,
 				    .payload = job->spec.payload,
-				    .ticket = c->grant ? c->grant->ticket :
-							 NULL,
+				    .ticket =
+					    c->grant ? c->grant->ticket : NULL,
 				    .checkpoint = task->saved };
 
 	cell_step_name(step, index, start.task);
@@ -183,12 +183,12 @@
 	cell_run_add(m, start.task, run, &held, now_ms);
 	start.deadline_ms = cell_minion_deadline(cell, m, now_ms);
 	cell->stats.starts++;
-	cell_event(cell, &(struct cell_event){ .what = "run-start",
-					       .task = start.task,
-					       .minion = m->info.id,
-					       .run = run,
-					       .age_ms = now_ms -
-							 step->opened_ms });
+	cell_event(cell,
+		   &(struct cell_event){ .what = "run-start",
+					 .task = start.task,
+					 .minion = m->info.id,
+					 .run = run,
+					 .age_ms = now_ms - step->opened_ms });
 	cell->owner->ops->start(cell->owner, &start);
 }
 
@@ -253,9 +253,9 @@
 };
 
 /*
- * The earliest deadline first among steps of one priority. Load: gangs that wait
- * for room on the grown deployments; in order of arrival, short jobs miss their
- * objective behind long ones that have time.
+ * The earliest deadline first among steps of one priority. Load: gangs that
+ * wait for room on the grown deployments; in order of arrival, short jobs miss
+ * their objective behind long ones that have time.
  */
 static int by_urgency(const void *a, const void *b)
 {
@@ -283,8 +283,7 @@
 	 * What an earlier term started may run on a minion that has not been
 	 * heard yet.
 	 */
-	if (step->job->inherited &&
-	    (cell->unsettled || !cell->minions_listed))
+	if (step->job->inherited && (cell->unsettled || !cell->minions_listed))
 		return;
 	n = collect(cell, step, order->queue, candidates, now_ms);
 	if (n)
@@ -318,8 +317,8 @@
 			continue;
 		}
 		cell->ready[kept++] = step;
-		o->queue = cell_config_queue(cell->config,
-					     step->job->spec.queue);
+		o->queue =
+			cell_config_queue(cell->config, step->job->spec.queue);
 		if (!o->queue)
 			continue;
 		o->step = step;
--- a/lib/cell/spec.c
+++ b/lib/cell/spec.c
@@ -20,8 +20,8 @@
 }
 
 /* Returns the queue of that name, or NULL. */
-const struct cell_queue_spec *cell_config_queue(const struct cell_config *config,
-						const char *name)
+const struct cell_queue_spec *
+cell_config_queue(const struct cell_config *config, const char *name)
 {
 	for (uint32_t i = 0; i < config->queue_count; i++) {
 		if (!strcmp(config->queues[i].name, name))
@@ -31,9 +31,9 @@
 }
 
 /* Returns the queue of @host with the longest prefix of @path, or NULL. */
-const struct cell_queue_spec *cell_config_route(const struct cell_config *config,
-						const char *host,
-						const char *path)
+const struct cell_queue_spec *
+cell_config_route(const struct cell_config *config, const char *host,
+		  const char *path)
 {
 	const struct cell_queue_spec *best = NULL;
 	size_t best_len = 0;
--- a/lib/cell/spec.h
+++ b/lib/cell/spec.h
@@ -49,7 +49,7 @@
 struct cell_job_spec {
 	char id[CELL_ID_MAX];
 	char queue[CELL_NAME_MAX];
-	char *payload;		 /* passed to each task */
+	char *payload; /* passed to each task */
 	uint64_t accepted_unix_ms;
 	uint32_t step_count;
 	struct cell_step_spec *steps;
@@ -87,11 +87,11 @@
 
 void cell_job_spec_free(struct cell_job_spec *spec);
 void cell_config_free(struct cell_config *config);
-const struct cell_queue_spec *cell_config_queue(const struct cell_config *config,
-						const char *name);
-const struct cell_queue_spec *cell_config_route(const struct cell_config *config,
-						const char *host,
-						const char *path);
+const struct cell_queue_spec *
+cell_config_queue(const struct cell_config *config, const char *name);
+const struct cell_queue_spec *
+cell_config_route(const struct cell_config *config, const char *host,
+		  const char *path);
 
 /* Position of a task: job id, occurrence, step and index. */
 struct cell_task_name {
--- a/lib/cell/term.c
+++ b/lib/cell/term.c
@@ -48,8 +48,8 @@
 
 /*
  * Returns true if the holder may start runs and renew leases. Its successor
- * waits for the leases of minions that it cannot reach, counted from here. While
- * nobody reaches the store there is no successor.
+ * waits for the leases of minions that it cannot reach, counted from here.
+ * While nobody reaches the store there is no successor.
  */
 bool term_valid(const struct term_proof *proof)
 {
--- a/lib/cell/term.h
+++ b/lib/cell/term.h
@@ -11,18 +11,18 @@
 
 /* What a daemon knows of the holder at a moment. */
 struct term_view {
-	bool store_ok;	      /* the store has just served a call */
-	bool draining;	      /* this daemon is being stopped */
-	bool none;	      /* there has never been a holder */
-	bool own;	      /* the holder is an earlier life of this daemon */
-	bool released;	      /* the holder has given its term up */
-	bool live_missing;    /* the lease of the holder has ended */
-	bool linked;	      /* a connection to the holder is up */
-	uint32_t silent_ms;   /* since the holder was last heard */
-	bool holder_valid;    /* what it said then */
+	bool store_ok;	    /* the store has just served a call */
+	bool draining;	    /* this daemon is being stopped */
+	bool none;	    /* there has never been a holder */
+	bool own;	    /* the holder is an earlier life of this daemon */
+	bool released;	    /* the holder has given its term up */
+	bool live_missing;  /* the lease of the holder has ended */
+	bool linked;	    /* a connection to the holder is up */
+	uint32_t silent_ms; /* since the holder was last heard */
+	bool holder_valid;  /* what it said then */
 	uint32_t holder_store_age_ms; /* since the store served it, then */
-	bool refused;	      /* its host refuses connections */
-	uint32_t term_age_ms; /* since this term was first seen */
+	bool refused;		      /* its host refuses connections */
+	uint32_t term_age_ms;	      /* since this term was first seen */
 };
 
 /* Why a daemon takes over, for the log; NULL while it must not. */
--- a/peer/link.c
+++ b/peer/link.c
@@ -9,6 +9,7 @@
 #include <openssl/crypto.h>
 #include <openssl/rand.h>
 
+#include "addr.h"
 #include "ctr.h"
 
 /* A stranger may send a hello and nothing larger. */
@@ -377,25 +378,6 @@
 	send_hello(link);
 }
 
-static bool parse_addr(const char *addr, struct sockaddr_in *sin)
-{
-	char host[MSG_ADDR_MAX];
-	const char *colon = strrchr(addr, ':');
-	char *end;
-	long port;
-
-	if (!colon || strlen(addr) >= sizeof(host))
-		return false;
-	memcpy(host, addr, (size_t)(colon - addr));
-	host[colon - addr] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (*end || port < 1 || port > 65535)
-		return false;
-	*sin = (struct sockaddr_in){ .sin_family = AF_INET,
-				     .sin_port = htons((uint16_t)port) };
-	return inet_pton(AF_INET, host, &sin->sin_addr) == 1;
-}
-
 /*
  * Connects to @addr, "address:port". Returns NULL when that fails at once, and
  * otherwise reports by the callbacks. The owner bounds the time of a handshake.
@@ -406,7 +388,7 @@
 	struct link *link;
 	h2o_socket_t *sock;
 
-	if (!parse_addr(addr, &sin))
+	if (!addr_parse(addr, &sin) || !sin.sin_port)
 		return NULL;
 	sock = h2o_socket_connect(loop_h2o(env->loop), (struct sockaddr *)&sin,
 				  sizeof(sin), on_connect);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -11,6 +11,7 @@
 
 #include <jansson.h>
 
+#include "addr.h"
 #include "codec.h"
 #include "ctr.h"
 #include "link.h"
@@ -888,34 +889,6 @@
 		link_abandon(link);
 }
 
-static int listen_on(const char *addr, struct err *err)
-{
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	char host[MSG_ADDR_MAX];
-	const char *colon = strrchr(addr, ':');
-	int one = 1;
-	int fd;
-
-	snprintf(host, sizeof(host), "%.*s", colon ? (int)(colon - addr) : 0,
-		 addr);
-	if (!colon || inet_pton(AF_INET, host, &sin.sin_addr) != 1) {
-		err_set(err, ERR_BAD_REQUEST, "listen %s: not address:port",
-			addr);
-		return -1;
-	}
-	sin.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd >= 0 &&
-	    !setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) &&
-	    !bind(fd, (struct sockaddr *)&sin, sizeof(sin)) &&
-	    !listen(fd, PEER_BACKLOG))
-		return fd;
-	err_set(err, ERR_INTERNAL, "listen %s: %s", addr, strerror(errno));
-	if (fd >= 0)
-		close(fd);
-	return -1;
-}
-
 static void open_listener(struct peer *peer, int fd)
 {
 	struct codec_hello *self = &peer->link_env.self;
@@ -982,7 +955,7 @@
  */
 struct task *peer_new(const struct env *env, struct err *err)
 {
-	int fd = listen_on(env->conf->listen_peers, err);
+	int fd = addr_listen(env->conf->listen_peers, PEER_BACKLOG, err);
 	uint64_t now = loop_now_ms();
 	struct peer *peer;
 
--- a/tests/accept_test.cc
+++ b/tests/accept_test.cc
@@ -9,7 +9,8 @@
 }
 
 /* Stand-ins of what the acceptor talks to. */
-namespace {
+namespace
+{
 
 struct Commit {
 	std::vector<std::string> keys;
@@ -72,10 +73,12 @@
 
 } /* extern "C" */
 
-namespace {
+namespace
+{
 
-class Accept : public ::testing::Test {
-    protected:
+class Accept : public ::testing::Test
+{
+      protected:
 	void SetUp() override
 	{
 		commits.clear();
@@ -129,15 +132,15 @@
 	ASSERT_EQ(commits.size(), 2U);
 	EXPECT_EQ(commits[1].keys.size(), 2U);
 	answer(1, PF_OK);
-	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_OK, CD_OK, CD_OK }));
+	EXPECT_EQ(answers,
+		  (std::vector<enum cd_answer>{ CD_OK, CD_OK, CD_OK }));
 }
 
 /* Guards against a refusal of a job that an earlier, lost try has stored. */
 TEST_F(Accept, AKeyThatExistsMeansAccepted)
 {
 	add("a");
-	answer(0, PF_CONFLICT,
-	       { { "jay/job/a", nullptr, 0, 17 } });
+	answer(0, PF_CONFLICT, { { "jay/job/a", nullptr, 0, 17 } });
 	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_OK }));
 }
 
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -67,9 +67,8 @@
 					of(o)->starts.push_back(
 						{ s->minion, s->minion_id,
 						  s->task, s->run,
-						  s->checkpoint ?
-							  s->checkpoint :
-							  "",
+						  s->checkpoint ? s->checkpoint
+								: "",
 						  s->deadline_ms });
 				},
 			.stop =
@@ -82,8 +81,9 @@
 			.ask =
 				[](struct cell_owner *o,
 				   const struct cell_question *q) {
-					Question copy{ q->handle, q->lane,
-						       q->step, {} };
+					Question copy{
+						q->handle, q->lane, q->step, {}
+					};
 
 					for (uint32_t i = 0; i < q->count; i++)
 						copy.minions.push_back(
@@ -127,9 +127,8 @@
 		struct cell_queue_spec *q;
 
 		config.version++;
-		config.queues = static_cast<struct cell_queue_spec *>(
-			realloc(config.queues, (config.queue_count + 1) *
-						       sizeof(*q)));
+		config.queues = static_cast<struct cell_queue_spec *>(realloc(
+			config.queues, (config.queue_count + 1) * sizeof(*q)));
 		q = &config.queues[config.queue_count++];
 		*q = {};
 		snprintf(q->name, sizeof(q->name), "%s", name);
@@ -242,8 +241,7 @@
 		std::vector<struct cell_minion_info> infos;
 
 		for (uint32_t i = 0; i < n; i++)
-			infos.push_back(
-				minion("m" + std::to_string(i), cpu));
+			infos.push_back(minion("m" + std::to_string(i), cpu));
 		cell_set_minions(cell, infos.data(), n, now);
 	}
 };
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -80,8 +80,7 @@
 	f.tick();
 	EXPECT_EQ(f.starts.size(), 0U);
 	ASSERT_EQ(f.stops.size(), 1U);
-	f.report(0, "m0", {},
-		 { { 1, "old.0.0.0", 77, CELL_END_STOPPED, "" } });
+	f.report(0, "m0", {}, { { 1, "old.0.0.0", 77, CELL_END_STOPPED, "" } });
 	f.tick();
 	EXPECT_EQ(f.starts.size(), 1U);
 }
@@ -174,7 +173,8 @@
 	EXPECT_EQ(f.starts.size(), 1U);
 }
 
-namespace {
+namespace
+{
 
 struct cell_record enrolled_record(const char *id)
 {
@@ -262,7 +262,8 @@
 
 /*
  * Guards against jobs that wait for the leases of a minion which has left: one
- * that the platform does not list any more is gone, 2.5 s after the store serves.
+ * that the platform does not list any more is gone, 2.5 s after the store
+ * serves.
  */
 TEST(Cell, AnInheritedMinionThatIsNotListedIsGone)
 {
@@ -297,8 +298,7 @@
 	ASSERT_EQ(f.starts.size(), 1U);
 	cell_on_start(f.cell, f.starts[0].minion, "j1.0.0.0", f.starts[0].run,
 		      CELL_OK, f.now);
-	f.report(1 - f.starts[0].minion,
-		 f.starts[0].minion ? "m0" : "m1", {},
+	f.report(1 - f.starts[0].minion, f.starts[0].minion ? "m0" : "m1", {},
 		 { { 1, "j1.0.0.0", 3, CELL_END_DONE, "" } });
 	f.durable();
 	EXPECT_EQ(f.stops.size(), 1U);
@@ -333,8 +333,8 @@
 
 /*
  * Load: many quick jobs at once. Guards against questions that all name the
- * minions with the most room, where the first job then leaves none to the others
- * and every step has to ask again.
+ * minions with the most room, where the first job then leaves none to the
+ * others and every step has to ask again.
  */
 TEST(Advice, QuestionsOfABurstNameDifferentMinions)
 {
@@ -350,7 +350,8 @@
 	cell_replayed(f.cell, f.now);
 	f.minions(40, 8000);
 	for (int i = 0; i < 6; i++)
-		f.submit(CellFixture::job("j" + std::to_string(i), "q", 2, 1000));
+		f.submit(CellFixture::job("j" + std::to_string(i), "q", 2,
+					  1000));
 	f.tick();
 	ASSERT_EQ(f.questions.size(), 6U);
 	for (const Question &question : f.questions)
@@ -427,9 +428,9 @@
 }
 
 /*
- * Guards against a job that two holders start: a daemon tells a new holder again
- * of jobs that it accepted just before, and the former one may have started them
- * on a minion that the new one has not heard yet.
+ * Guards against a job that two holders start: a daemon tells a new holder
+ * again of jobs that it accepted just before, and the former one may have
+ * started them on a minion that the new one has not heard yet.
  */
 TEST(Cell, AJobThatIsToldAgainWaitsForAllMinions)
 {
--- a/tests/cellsim_test.cc
+++ b/tests/cellsim_test.cc
@@ -5,7 +5,8 @@
 #include "../fakes/cellsim.h"
 }
 
-namespace {
+namespace
+{
 
 /* Loads like those of a captioning workshop: gangs, patient and quick jobs. */
 const struct cellsim_class classes[] = {
@@ -74,7 +75,8 @@
 	return s;
 }
 
-void expect_kept(const struct cellsim_result &r, const struct cellsim_settings &s)
+void expect_kept(const struct cellsim_result &r,
+		 const struct cellsim_settings &s)
 {
 	RC_LOG() << "seed " << s.seed << ": " << r.first_fault << "\n";
 	RC_ASSERT(r.over_capacity == 0U);
@@ -86,7 +88,8 @@
 
 } // namespace
 
-/* Guards against gangs that never come together, and idle rooms, on calm days. */
+/* Guards against gangs that never come together, and idle rooms, on calm days.
+ */
 TEST(Cellsim, ACalmDayIsServedInTime)
 {
 	struct cellsim_settings s = calm(3);
--- a/tests/httpc_test.cc
+++ b/tests/httpc_test.cc
@@ -8,7 +8,8 @@
 #include "httpd.h"
 }
 
-namespace {
+namespace
+{
 
 struct Fixture {
 	struct loop *loop = loop_new();
