--- a/jaycelld/accept.c
+++ b/jaycelld/accept.c
@@ -25,6 +25,11 @@
  * certain that they have not run.
  */
 #define UNAVAILABLE_MS 250
+/*
+ * A job that was sent without an answer is given up when all calls have failed
+ * for this long, in ms: few outages of that length end before its deadline.
+ */
+#define GIVE_UP_MS 1000
 /* An unavailable store is asked this often whether it is back, in ms. */
 #define PROBE_MS 100
 #define PROBE_TIMEOUT_MS 400
@@ -188,7 +193,8 @@
 		return;
 	if (!w->maybe_stored)
 		answer(a, w, CD_REFUSED);
-	else if (now + ANSWER_MARGIN_MS >= w->deadline_ms)
+	else if (now + ANSWER_MARGIN_MS >= w->deadline_ms ||
+		 pf_store_failing_ms(a->d->store) > GIVE_UP_MS)
 		answer(a, w, CD_UNKNOWN);
 	else
 		enqueue(a, w);
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -40,6 +40,7 @@
 	uint32_t stop_timeout_ms;   /* of a run */
 	uint32_t status_s;	    /* ended jobs stay known */
 	uint32_t grace_s;	    /* from SIGTERM to SIGKILL */
+	uint32_t snapshot_batches;  /* of the journal, between snapshots */
 };
 
 struct celld;
@@ -150,6 +151,13 @@
 uint64_t terms_seen(const struct terms *terms);
 const char *terms_holder_addr(const struct terms *terms);
 
+/* tidy.c: removal of what no successor needs. */
+struct tidy;
+struct tidy *tidy_new(struct celld *d, uint64_t token);
+void tidy_free(struct tidy *tidy);
+void tidy_remove(struct tidy *tidy, const char *key);
+void tidy_tick(struct tidy *tidy, uint64_t now_ms);
+
 /* holder.c: the scheduler of this daemon's term. */
 struct holder;
 struct holder *holder_new(struct celld *d, uint64_t token);
--- a/jaycelld/conf.c
+++ b/jaycelld/conf.c
@@ -12,7 +12,7 @@
 	SETTING_NAME,	  /* text, not empty */
 	SETTING_ADDR,	  /* "address:port" */
 	SETTING_OPT_ADDR, /* the same, or empty or absent */
-	SETTING_MS,	  /* whole number, 1 to SETTING_NUMBER_MAX */
+	SETTING_COUNTED,  /* whole number, 1 to SETTING_NUMBER_MAX */
 	SETTING_SHARE	  /* number above 0 */
 };
 
@@ -41,11 +41,12 @@
 	SETTING(store, ADDR),
 	SETTING(advice, OPT_ADDR),
 	SETTING(cpu_share, SHARE),
-	SETTING(lease_ms, MS),
-	SETTING(hold_max_ms, MS),
-	SETTING(stop_timeout_ms, MS),
-	SETTING(status_s, MS),
-	SETTING(grace_s, MS),
+	SETTING(lease_ms, COUNTED),
+	SETTING(hold_max_ms, COUNTED),
+	SETTING(stop_timeout_ms, COUNTED),
+	SETTING(status_s, COUNTED),
+	SETTING(grace_s, COUNTED),
+	SETTING(snapshot_batches, COUNTED),
 };
 
 #define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
@@ -85,7 +86,7 @@
 		if (!read_text(to, CELL_ADDR_MAX, v) || !is_addr(to))
 			return "\"address:port\"";
 		return NULL;
-	case SETTING_MS:
+	case SETTING_COUNTED:
 		n = json_is_integer(v) ? json_integer_value(v) : 0;
 		if (n < 1 || n > SETTING_NUMBER_MAX)
 			return "a whole number from 1 to 86400000";
@@ -123,9 +124,13 @@
 	bool ok = false;
 
 	*conf = (struct cd_conf){ 0 };
-	if (!json_is_object(body)) {
+	if (!body) {
 		err_set(err, ERR_BAD_REQUEST, "%s:%d:%d: %s", file, at.line,
-			at.column, body ? "not an object" : at.text);
+			at.column, at.text);
+		goto out;
+	}
+	if (!json_is_object(body)) {
+		err_set(err, ERR_BAD_REQUEST, "%s: not an object", file);
 		goto out;
 	}
 	json_object_foreach(body, key, value)
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -56,6 +56,7 @@
 	struct cell_owner owner; /* first member */
 	struct celld *d;
 	struct cell *cell;
+	struct tidy *tidy;
 	uint64_t token;
 	uint64_t began_ms;
 	enum phase phase;
@@ -78,6 +79,10 @@
 	uint32_t batch_number;
 	uint64_t batch_sent_ms;
 	uint64_t batch_after_ms;
+	char (*old_batches)[JOURNAL_KEY_MAX]; /* to be replaced */
+	uint32_t old_count;
+	uint64_t snapshot_seq; /* last record of a snapshot, 0: none */
+	uint32_t snapshot_old; /* batches that it replaces */
 	struct cancel_waiter *cancels;
 	uint32_t cancel_count;
 	struct timer tick;
@@ -99,10 +104,12 @@
 {
 	timer_stop(h->d->loop, &h->tick);
 	cell_free(h->cell);
+	tidy_free(h->tidy);
 	for (uint32_t i = h->queue_head; i < h->queue_count; i++)
 		buf_free(&h->queue[i].bytes);
 	free(h->queue);
 	free(h->cancels);
+	free(h->old_batches);
 	free(h->infos);
 	buf_free(&h->batch);
 	free(h);
@@ -269,12 +276,22 @@
 	   (unsigned long long)e->value);
 }
 
+static void op_forgotten(struct cell_owner *owner, const char *job)
+{
+	struct holder *h = of_owner(owner);
+	char key[sizeof(CD_JOB_PREFIX) + CELL_ID_MAX];
+
+	snprintf(key, sizeof(key), CD_JOB_PREFIX "%s", job);
+	tidy_remove(h->tidy, key);
+}
+
 static const struct cell_ops cell_ops = {
 	.start = op_start,
 	.stop = op_stop,
 	.ask = op_ask,
 	.record = op_record,
 	.hold = op_hold,
+	.forgotten = op_forgotten,
 	.event = op_event,
 };
 
@@ -301,19 +318,70 @@
 	return false;
 }
 
+static void batch_key(const struct holder *h, char key[JOURNAL_KEY_MAX])
+{
+	snprintf(key, JOURNAL_KEY_MAX, CD_JOURNAL_PREFIX "%020llu/%08u",
+		 (unsigned long long)h->token, h->batch_number);
+}
+
+/* A batch exists that a later snapshot can replace. */
+static void note_batch(struct holder *h, const char *key)
+{
+	h->old_batches = xrealloc(h->old_batches,
+				  (h->old_count + 1) * sizeof(*h->old_batches));
+	snprintf(h->old_batches[h->old_count], JOURNAL_KEY_MAX, "%s", key);
+	h->old_count++;
+}
+
+static void emit_snapshot(void *ctx, const struct cell_record *record)
+{
+	struct holder *h = ctx;
+
+	h->snapshot_seq = cell_rewrite(h->cell, record);
+}
+
+/* Writes the whole state anew once the journal has many batches. */
+static void consider_snapshot(struct holder *h)
+{
+	if (h->snapshot_seq || h->old_count < h->d->conf.snapshot_batches)
+		return;
+	h->snapshot_old = h->old_count;
+	cell_snapshot(h->cell, emit_snapshot, h);
+	ev("snapshot", "batches=%u seq=%llu", h->snapshot_old,
+	   (unsigned long long)h->snapshot_seq);
+}
+
+/* The snapshot is durable: the batches before it can go. */
+static void finish_snapshot(struct holder *h, uint64_t seq)
+{
+	if (!h->snapshot_seq || seq < h->snapshot_seq)
+		return;
+	for (uint32_t i = 0; i < h->snapshot_old; i++)
+		tidy_remove(h->tidy, h->old_batches[i]);
+	h->old_count -= h->snapshot_old;
+	memmove(h->old_batches, h->old_batches + h->snapshot_old,
+		h->old_count * sizeof(*h->old_batches));
+	h->snapshot_seq = 0;
+}
+
 static void batch_written(struct holder *h)
 {
+	char key[JOURNAL_KEY_MAX];
 	uint64_t seq = h->queue[h->queue_head + h->batch_count - 1].seq;
 
 	for (uint32_t i = 0; i < h->batch_count; i++)
 		buf_free(&h->queue[h->queue_head + i].bytes);
 	h->queue_head += h->batch_count;
 	h->batch_count = 0;
+	batch_key(h, key);
+	note_batch(h, key);
 	h->batch_number++;
 	buf_free(&h->batch);
 	ctr_add(h->batches, 1);
 	cell_recorded(h->cell, seq, loop_now_ms());
 	answer_cancels(h, seq);
+	finish_snapshot(h, seq);
+	consider_snapshot(h);
 }
 
 static void on_batch(void *ctx, const struct pf_reply *reply)
@@ -366,8 +434,7 @@
 		buf_free(&records);
 		h->batch_count = n;
 	}
-	snprintf(key, sizeof(key), CD_JOURNAL_PREFIX "%020llu/%08u",
-		 (unsigned long long)h->token, h->batch_number);
+	batch_key(h, key);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = h->token };
 	txn.conditions[1] = (struct pf_condition){ .key = key };
@@ -450,6 +517,8 @@
 		if (!record_replay_batch(reply->items[i].value,
 					 reply->items[i].value_len, h->cell))
 			ev("journal-malformed", "key=%s", reply->items[i].key);
+		else
+			note_batch(h, reply->items[i].key);
 	}
 	if (!reply->more || !reply->count) {
 		h->phase++;
@@ -738,6 +807,7 @@
 	cell_set_valid(h->cell, terms_valid(h->d->terms, now_ms));
 	cell_tick(h->cell, cd_unix_ms(), now_ms);
 	write_batch(h, now_ms);
+	tidy_tick(h->tidy, now_ms);
 }
 
 static void on_tick(struct timer *timer)
@@ -765,6 +835,7 @@
 	h->d = d;
 	h->token = token;
 	h->began_ms = loop_now_ms();
+	h->tidy = tidy_new(d, token);
 	h->cell = cell_new(&h->owner, &settings, h->began_ms);
 	h->tick = (struct timer){ .fn = on_tick, .ctx = h };
 	h->starts = ctr_counter("jaycelld_starts_total", "Runs ordered.");
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -202,6 +202,7 @@
 		pack_text(&pk, record->task);
 		break;
 	case CELL_RECORD_CANCEL:
+	case CELL_RECORD_STATE:
 		pack_text(&pk, record->job);
 		break;
 	default:
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -73,13 +73,14 @@
 	CELL_RECORD_CANCEL,   /* a job was cancelled */
 	CELL_RECORD_ENROLLED, /* orders may be sent to a minion */
 	CELL_RECORD_SETTLED,  /* nothing runs on a minion any more */
+	CELL_RECORD_STATE,    /* a job has ended in the state that run holds */
 	CELL_RECORD_KINDS
 };
 
 /* One durable fact. Pointers are valid during the call. */
 struct cell_record {
 	enum cell_record_kind kind;
-	const char *job;   /* CANCEL */
+	const char *job;   /* CANCEL, STATE */
 	const char *task;  /* END */
 	uint64_t run;	   /* END */
 	enum cell_end end; /* END */
@@ -109,6 +110,8 @@
 		       const struct cell_record *record);
 	/* A minion has to be looked at: cell_hold_request() tells how. */
 	void (*hold)(struct cell_owner *owner, uint32_t minion);
+	/* Callers may not ask for an ended job any more. May be NULL. */
+	void (*forgotten)(struct cell_owner *owner, const char *job);
 	void (*event)(struct cell_owner *owner, const struct cell_event *event);
 };
 
@@ -219,6 +222,10 @@
 		 uint64_t unix_ms, uint64_t now_ms);
 void cell_replay(struct cell *cell, const struct cell_record *record);
 void cell_replayed(struct cell *cell, uint64_t now_ms);
+void cell_snapshot(const struct cell *cell,
+		   void (*emit)(void *ctx, const struct cell_record *record),
+		   void *ctx);
+uint64_t cell_rewrite(struct cell *cell, const struct cell_record *record);
 uint64_t cell_cancel(struct cell *cell, const char *id, uint64_t now_ms);
 enum cell_job_state cell_state(const struct cell *cell, const char *id);
 const char *cell_state_name(enum cell_job_state state);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -14,9 +14,15 @@
 	CELL_TASK_DONE
 };
 
+/* A run whose end was handled. */
+struct cell_past {
+	uint64_t run;
+	enum cell_end end;
+};
+
 struct cell_task {
-	uint64_t run;	 /* of the latest start, 0: none */
-	uint64_t *ended; /* runs whose end was handled, in any order */
+	uint64_t run;		 /* of the latest start, 0: none */
+	struct cell_past *ended; /* in any order */
 	uint32_t ended_count;
 	uint64_t progress_ms;
 	uint32_t minion;    /* of the latest start */
@@ -102,10 +108,11 @@
 	uint64_t unlisted_ms;
 	bool enrolled; /* durable: orders may be sent */
 	bool enrolling;
-	bool reached;	/* knows the token of this term */
-	bool inherited; /* an earlier term may have started work on it */
-	bool failing;	/* the latest call failed */
-	bool looking;
+	bool reached;	     /* knows the token of this term */
+	bool inherited;	     /* an earlier term may have started work on it */
+	bool failing;	     /* the latest call failed */
+	uint32_t looks;	     /* in flight */
+	bool look_now;	     /* beside one that waits, and without waiting */
 	uint64_t unknown_ms; /* an end of an unknown job was listed, 0: none */
 	uint64_t look_at_ms;
 	uint64_t settle_ms; /* of an inherited minion that stays silent */
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -350,6 +350,14 @@
 	return true;
 }
 
+/* The cancelling alone decides, whatever else is still to be written. */
+static bool cancel_is_durable(const struct cell *cell,
+			      const struct cell_job *job)
+{
+	return job->final == CELL_JOB_CANCELLED &&
+	       cell->durable_seq >= job->cancel_seq;
+}
+
 /*
  * Shows the decided state of a job to callers once all its records are durable:
  * a successor must not know less than a caller has been told.
@@ -358,8 +366,10 @@
 {
 	if (job->final == CELL_JOB_UNKNOWN && job_is_done(job))
 		job->final = CELL_JOB_COMPLETED;
-	if (job->final == CELL_JOB_UNKNOWN || job->unrecorded ||
-	    job->state == job->final || cell->replaying)
+	if (job->final == CELL_JOB_UNKNOWN || job->state == job->final ||
+	    cell->replaying)
+		return;
+	if (job->unrecorded && !cancel_is_durable(cell, job))
 		return;
 	job->state = job->final;
 	job->ended_ms = now_ms;
@@ -534,6 +544,16 @@
 	return false;
 }
 
+static void add_past(struct cell_task *task, uint64_t run, enum cell_end end)
+{
+	task->ended = realloc(task->ended,
+			      (task->ended_count + 1) * sizeof(*task->ended));
+	if (!task->ended)
+		abort();
+	task->ended[task->ended_count++] =
+		(struct cell_past){ .run = run, .end = end };
+}
+
 static void add_run(uint64_t **runs, uint32_t *count, uint64_t run)
 {
 	*runs = realloc(*runs, (*count + 1) * sizeof(**runs));
@@ -545,7 +565,11 @@
 /* Returns true if the end of that run was handled. */
 bool cell_task_ended(const struct cell_task *task, uint64_t run)
 {
-	return has_run(task->ended, task->ended_count, run);
+	for (uint32_t i = 0; i < task->ended_count; i++) {
+		if (task->ended[i].run == run)
+			return true;
+	}
+	return false;
 }
 
 /* Returns the failed attempts; several members of a gang count as one. */
@@ -604,7 +628,7 @@
 
 	if (!task || cell_task_ended(task, end->run))
 		return false;
-	add_run(&task->ended, &task->ended_count, end->run);
+	add_past(task, end->run, end->end);
 	if (end->run > task->run)
 		task->run = end->run;
 	step->job->begun = true;
@@ -645,6 +669,11 @@
 	case CELL_RECORD_SETTLED:
 		cell_minion_forget(cell, record->minion);
 		break;
+	case CELL_RECORD_STATE:
+		job = cell_job_find(cell, record->job);
+		if (job && record->run < CELL_JOB_STATES)
+			job->final = (enum cell_job_state)record->run;
+		break;
 	case CELL_RECORD_KINDS:
 		break;
 	}
@@ -719,9 +748,12 @@
 
 	HASH_ITER(hh, cell->jobs, job, tmp)
 	{
-		if (job->ended_ms &&
-		    now_ms > job->ended_ms + cell->settings.status_ms)
-			job_free(cell, job);
+		if (!job->ended_ms ||
+		    now_ms <= job->ended_ms + cell->settings.status_ms)
+			continue;
+		if (cell->owner->ops->forgotten)
+			cell->owner->ops->forgotten(cell->owner, job->spec.id);
+		job_free(cell, job);
 	}
 }
 
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -198,11 +198,14 @@
 	if (!m)
 		return false;
 	*out = (struct cell_hold){ .addr = m->info.addr, .id = m->info.id };
-	if (!m->reached || m->failing)
+	if (!m->reached || m->failing) {
+		m->look_now = false;
 		return true;
+	}
 	out->observed = m->observed;
-	if (m->observed == m->seen)
+	if (m->observed == m->seen && !m->look_now)
 		out->wait_ms = cell->settings.hold_wait_ms;
+	m->look_now = false;
 	if (cell->valid && m->clock_known)
 		out->deadline_ms = cell_minion_deadline(cell, m, now_ms);
 	return true;
@@ -548,7 +551,7 @@
 
 	if (!m)
 		return;
-	m->looking = false;
+	m->looks -= m->looks > 0;
 	if (m->born_unix_ms && report->born_unix_ms &&
 	    m->born_unix_ms != report->born_unix_ms)
 		settle(cell, m, "another life", now_ms);
@@ -579,8 +582,10 @@
 
 	if (!m)
 		return;
-	m->looking = false;
-	m->look_at_ms = now_ms + (m->listed ? RETRY_MS : RETRY_SLOW_MS);
+	m->looks -= m->looks > 0;
+	m->look_at_ms = now_ms;
+	if (m->failing || !m->reached)
+		m->look_at_ms += m->listed ? RETRY_MS : RETRY_SLOW_MS;
 	if (result == CELL_OTHER_LIFE) {
 		if (m->enrolled || m->run_count || m->inherited)
 			settle(cell, m, "replaced", now_ms);
@@ -662,10 +667,13 @@
 	if (!r)
 		return;
 	r->stop_in_flight = false;
-	if (result == CELL_OK)
+	if (result == CELL_OK) {
 		r->stopped_ms = now_ms;
-	else
+		/* The report of a later look tells whether it ever began. */
+		m->look_now |= !r->acked_ms;
+	} else {
 		r->stop_after_ms = now_ms + STOP_RETRY_MS;
+	}
 }
 
 static void tick_runs(struct cell *cell, struct cell_minion *m, uint64_t now_ms)
@@ -694,14 +702,14 @@
 	    !m->inherited && now_ms > m->unlisted_ms + UNLISTED_MS) {
 		if (m->enrolled)
 			settle(cell, m, "left", now_ms);
-		if (!m->looking) {
+		if (!m->looks) {
 			minion_free(m);
 			return;
 		}
 	}
 	tick_runs(cell, m, now_ms);
-	if (!m->looking && now_ms >= m->look_at_ms) {
-		m->looking = true;
+	if (m->look_now || (!m->looks && now_ms >= m->look_at_ms)) {
+		m->looks++;
 		cell->owner->ops->hold(cell->owner, m->handle);
 	}
 }
--- a/lib/cell/record.c
+++ b/lib/cell/record.c
@@ -46,6 +46,12 @@
 	return cell->next_seq;
 }
 
+/* Passes a record of a snapshot to the journal; returns its number. */
+uint64_t cell_rewrite(struct cell *cell, const struct cell_record *record)
+{
+	return cell_record_add(cell, record, NULL, NULL, 0, 0);
+}
+
 /*
  * Lets the minion forget its ends up to @number, once the records that were
  * issued so far are durable. The end itself needs no record.
--- /dev/null
+++ b/lib/cell/snapshot.c
@@ -0,0 +1,76 @@
+/* Records that stand for the whole state, so that older ones can go. */
+#include <string.h>
+
+#include "cell/cell_int.h"
+
+struct emitter {
+	void (*emit)(void *ctx, const struct cell_record *record);
+	void *ctx;
+};
+
+static void emit_task(const struct emitter *e, const struct cell_step *step,
+		      uint32_t index)
+{
+	const struct cell_task *task = &step->tasks[index];
+	char name[CELL_TASK_MAX];
+
+	cell_step_name(step, index, name);
+	for (uint32_t i = 0; i < task->ended_count; i++) {
+		const struct cell_past *past = &task->ended[i];
+
+		e->emit(e->ctx, &(struct cell_record){ .kind = CELL_RECORD_END,
+						       .task = name,
+						       .run = past->run,
+						       .end = past->end,
+						       .saved = task->saved });
+	}
+}
+
+static void emit_job(const struct emitter *e, const struct cell_job *job)
+{
+	if (job->state != CELL_JOB_QUEUED && job->state != CELL_JOB_RUNNING) {
+		e->emit(e->ctx,
+			&(struct cell_record){ .kind = CELL_RECORD_STATE,
+					       .job = job->spec.id,
+					       .run = job->state });
+		return;
+	}
+	if (job->final == CELL_JOB_CANCELLED)
+		e->emit(e->ctx,
+			&(struct cell_record){ .kind = CELL_RECORD_CANCEL,
+					       .job = job->spec.id });
+	for (uint32_t i = 0; i < job->occurrence_count; i++) {
+		for (uint32_t s = 0; s < job->spec.step_count; s++) {
+			const struct cell_step *step =
+				&job->occurrences[i].steps[s];
+
+			for (uint32_t t = 0; t < step->spec->count; t++)
+				emit_task(e, step, t);
+		}
+	}
+}
+
+/*
+ * Passes records to @emit that have the same effect, replayed, as all records
+ * so far: those of earlier batches can be removed once these are durable.
+ */
+void cell_snapshot(const struct cell *cell,
+		   void (*emit)(void *ctx, const struct cell_record *record),
+		   void *ctx)
+{
+	struct emitter e = { .emit = emit, .ctx = ctx };
+	struct cell_job *job;
+	struct cell_job *tmp;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		const struct cell_minion *m = cell->minions[i];
+
+		if (m->used && (m->enrolled || m->enrolling))
+			emit(ctx, &(struct cell_record){
+					  .kind = CELL_RECORD_ENROLLED,
+					  .minion = m->info.id,
+					  .addr = m->info.addr });
+	}
+	HASH_ITER(hh, cell->jobs, job, tmp)
+	emit_job(&e, job);
+}
--- a/tests/accept_test.cc
+++ b/tests/accept_test.cc
@@ -114,6 +114,18 @@
 		commits[commit].done(commits[commit].ctx, &reply);
 	}
 
+	void wait(uint32_t ms)
+	{
+		struct timer stop = {};
+
+		stop.fn = [](struct timer *t) {
+			loop_stop(static_cast<struct loop *>(t->ctx));
+		};
+		stop.ctx = d.loop;
+		timer_start(d.loop, &stop, ms);
+		loop_run(d.loop);
+	}
+
 	struct celld d = {};
 	struct acceptor *acceptor = nullptr;
 	std::vector<enum cd_answer> answers;
@@ -157,6 +169,23 @@
 	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_REFUSED }));
 }
 
+/* Guards against a caller that is kept waiting when nothing more is tried. */
+TEST_F(Accept, ASentJobIsGivenUpInALongOutage)
+{
+	add("a");
+	failing_ms = 500;
+	answer(0, PF_UNKNOWN);
+	EXPECT_TRUE(answers.empty());
+	failing_ms = 1500;
+	for (size_t next = 1, i = 0; answers.empty() && i < 50; i++) {
+		wait(20);
+		if (commits.size() > next)
+			answer(next++, PF_UNKNOWN);
+	}
+	ASSERT_FALSE(answers.empty());
+	EXPECT_EQ(answers[0], CD_UNKNOWN);
+}
+
 /*
  * Guards against jobs that are sent to a store which is known to be away:
  * their fate would be unknown, while an unsent job can return after the outage.
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -50,6 +50,7 @@
 	std::vector<Question> questions;
 	std::vector<uint64_t> records;
 	std::vector<uint32_t> looks;
+	std::vector<std::string> forgotten;
 	uint64_t now = 100000;
 	uint64_t unix_ms = 1700000000000;
 
@@ -99,6 +100,10 @@
 				[](struct cell_owner *o, uint32_t minion) {
 					of(o)->looks.push_back(minion);
 				},
+			.forgotten =
+				[](struct cell_owner *o, const char *job) {
+					of(o)->forgotten.push_back(job);
+				},
 			.event = nullptr,
 		};
 		struct cell_settings settings = {};
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -454,3 +454,165 @@
 	f.tick();
 	EXPECT_EQ(f.starts.size(), 1U);
 }
+
+/*
+ * Guards against a journal that cannot be shortened: a snapshot has the effect
+ * of all records before it.
+ */
+TEST(Cell, ASnapshotReplaysToTheSameState)
+{
+	struct Stored {
+		struct cell_record record;
+		std::string subject;
+		std::string saved;
+	};
+	CellFixture f;
+	CellFixture g(9);
+	std::vector<Stored> stored;
+	auto emit = [](void *ctx, const struct cell_record *r) {
+		const char *subject = r->task  ? r->task
+				      : r->job ? r->job
+					       : r->minion;
+
+		static_cast<std::vector<Stored> *>(ctx)->push_back(
+			{ *r, subject, r->saved ? r->saved : "" });
+	};
+
+	f.queue("q", 0, 2);
+	g.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	for (const char *id : { "done", "half", "gone" }) {
+		f.submit(CellFixture::job(id, "q", 2, 1000));
+		g.submit(CellFixture::job(id, "q", 2, 1000), false);
+	}
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 6U);
+	f.report(0, "m0", {},
+		 { { 1, "done.0.0.0", f.starts[0].run, CELL_END_DONE, "" },
+		   { 2, "done.0.0.1", f.starts[1].run, CELL_END_DONE, "" },
+		   { 3, "half.0.0.0", f.starts[2].run, CELL_END_DONE, "" },
+		   { 4, "half.0.0.1", f.starts[3].run, CELL_END_FAILED,
+		     "ck" } });
+	cell_cancel(f.cell, "gone", f.now);
+	f.durable();
+	cell_snapshot(f.cell, emit, &stored);
+	for (Stored &s : stored) {
+		s.record.task = s.subject.c_str();
+		s.record.job = s.subject.c_str();
+		s.record.minion = s.subject.c_str();
+		s.record.saved = s.saved.c_str();
+		s.record.addr = "10.0.0.1:80";
+		cell_replay(g.cell, &s.record);
+	}
+	cell_replayed(g.cell, g.now);
+	EXPECT_EQ(cell_state(g.cell, "done"), CELL_JOB_COMPLETED);
+	EXPECT_EQ(cell_state(g.cell, "half"), CELL_JOB_RUNNING);
+	EXPECT_EQ(cell_state(g.cell, "gone"), CELL_JOB_CANCELLED);
+	g.list(1, 8000);
+	g.report(0, "m0", {}, {});
+	g.durable();
+	g.tick();
+	ASSERT_EQ(g.starts.size(), 1U);
+	EXPECT_EQ(g.starts[0].task, "half.0.0.1");
+	EXPECT_EQ(g.starts[0].checkpoint, "ck");
+}
+
+/* Guards against jobs that stay in the store for ever. */
+TEST(Cell, EndedJobsAreForgottenAfterTheirStatusTime)
+{
+	CellFixture f;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	cell_cancel(f.cell, "j1", f.now);
+	f.durable();
+	f.tick(60000);
+	EXPECT_EQ(cell_state(f.cell, "j1"), CELL_JOB_CANCELLED);
+	f.tick(70000);
+	EXPECT_EQ(f.forgotten, (std::vector<std::string>{ "j1" }));
+	EXPECT_EQ(cell_state(f.cell, "j1"), CELL_JOB_UNKNOWN);
+}
+
+/*
+ * Guards against a job that is shown as running after its cancelling was
+ * confirmed, because the end of its stopped run is not durable yet.
+ */
+TEST(Cell, ACancelledJobIsShownSoOnceThatIsDurable)
+{
+	CellFixture f;
+	uint64_t seq;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	seq = cell_cancel(f.cell, "j1", f.now);
+	f.report(0, "m0", {},
+		 { { 1, "j1.0.0.0", f.starts[0].run, CELL_END_STOPPED, "" } });
+	cell_recorded(f.cell, seq, f.now);
+	EXPECT_EQ(cell_state(f.cell, "j1"), CELL_JOB_CANCELLED);
+}
+
+/*
+ * Guards against a minion that gets no work for long because one answer was
+ * lost: it is looked at again at once, without waiting for an end.
+ */
+TEST(Cell, AMinionWhoseAnswerWasLostIsLookedAtAgainAtOnce)
+{
+	CellFixture f;
+	struct cell_hold hold;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	f.looks.clear();
+	cell_on_hold_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now);
+	f.tick();
+	ASSERT_EQ(f.looks.size(), 1U);
+	cell_hold_request(f.cell, 0, &hold, f.now);
+	EXPECT_EQ(hold.wait_ms, 0U);
+	/* A second failure in a row is not answered by a flood of looks. */
+	cell_on_hold_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now);
+	f.tick();
+	EXPECT_EQ(f.looks.size(), 1U);
+	f.tick(250);
+	EXPECT_EQ(f.looks.size(), 2U);
+}
+
+/*
+ * Guards against a task that waits for the end of a look of 1.5 s before it is
+ * started again: once the stop of its unanswered start is confirmed, the minion
+ * is looked at, beside the look that waits.
+ */
+TEST(Cell, AnUnansweredStartIsSettledByALookOfItsOwn)
+{
+	CellFixture f;
+	struct cell_hold hold;
+	uint64_t run;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	run = f.starts[0].run;
+	f.now += 600;
+	cell_on_start(f.cell, 0, "j1.0.0.0", run, CELL_NO_ANSWER, f.now);
+	ASSERT_EQ(f.stops.size(), 1U);
+	f.looks.clear();
+	cell_on_stop(f.cell, 0, "j1.0.0.0", run, CELL_OK, f.now);
+	f.tick(5);
+	ASSERT_EQ(f.looks.size(), 1U);
+	cell_hold_request(f.cell, 0, &hold, f.now);
+	EXPECT_EQ(hold.wait_ms, 0U);
+	f.now += 5;
+	f.report(0, "m0", {}, {}, 5);
+	f.tick();
+	EXPECT_EQ(f.starts.size(), 2U);
+}
