--- a/Makefile
+++ b/Makefile
@@ -111,6 +111,7 @@
 
 demo: all
 	scripts/demo
+	scripts/demo-cell
 
 # The stages run one after the other, so that load of one does not disturb the
 # events that another waits for; only the compilers and linters run in parallel.
@@ -157,11 +158,13 @@
 
 FUZZERS = $(patsubst fuzz/%.c,$(B)/fuzz/%,$(FUZZ_SRC))
 SAN = -fsanitize=address,undefined -fno-sanitize-recover=undefined
-$(B)/fuzz/%: fuzz/%.c $(LIB_SRC) $(COMMON_SRC) $(DAEMON_SRC) $(HEADERS)
+$(B)/fuzz/%: fuzz/%.c $(LIB_SRC) $(COMMON_SRC) $(DAEMON_SRC) $(CELLD_SRC) \
+		$(HEADERS)
 	@mkdir -p $(@D)
 	clang $(CPPFLAGS) -std=gnu11 -g -O1 -fsanitize=fuzzer,address,undefined \
 		-o $@ $< $(LIB_SRC) $(COMMON_SRC) \
-		$(filter-out jayspoked/main.c,$(DAEMON_SRC)) $(LDLIBS)
+		$(filter-out jayspoked/main.c jaycelld/main.c,$(DAEMON_SRC) \
+		$(CELLD_SRC)) $(LDLIBS)
 
 fuzz-short: $(FUZZERS)
 	@scripts/run-fuzzers $(B) short
--- a/fakes/platform_kv.c
+++ b/fakes/platform_kv.c
@@ -37,7 +37,6 @@
 	uint64_t id;
 	uint32_t ttl_ms;
 	uint64_t until_ms;
-	UT_hash_handle hh;
 };
 
 struct watch {
@@ -58,6 +57,7 @@
 	uint32_t history_count;
 	uint64_t compacted; /* changes up to here are forgotten */
 	struct lease *leases;
+	uint32_t lease_count;
 	uint64_t next_lease;
 	struct watch *watches;
 	struct timer tick;
@@ -356,12 +356,18 @@
 	return ok;
 }
 
-static bool lease_exists(struct platform_kv *kv, uint64_t id)
+static struct lease *lease_find(const struct platform_kv *kv, uint64_t id)
 {
-	struct lease *lease;
+	for (uint32_t i = 0; i < kv->lease_count; i++) {
+		if (kv->leases[i].id == id)
+			return &kv->leases[i];
+	}
+	return NULL;
+}
 
-	HASH_FIND(hh, kv->leases, &id, sizeof(id), lease);
-	return !id || lease;
+static bool lease_exists(const struct platform_kv *kv, uint64_t id)
+{
+	return !id || lease_find(kv, id);
 }
 
 static void commit(struct platform_kv *kv, const json_t *puts,
@@ -420,13 +426,15 @@
 {
 	json_t *body =
 		json_loadb(request->http.body, request->http.body_len, 0, NULL);
-	struct lease *lease = xcalloc(1, sizeof(*lease));
+	struct lease *lease;
 
+	kv->leases =
+		xrealloc(kv->leases, (kv->lease_count + 1) * sizeof(*lease));
+	lease = &kv->leases[kv->lease_count++];
 	lease->id = ++kv->next_lease;
 	lease->ttl_ms =
 		(uint32_t)json_integer_value(json_object_get(body, "ttl_ms"));
 	lease->until_ms = loop_now_ms() + lease->ttl_ms;
-	HASH_ADD(hh, kv->leases, id, sizeof(lease->id), lease);
 	fake_answer_json(kv->fake, request->id, 200, NULL,
 			 json_pack("{s:I,s:I}", "lease", (json_int_t)lease->id,
 				   "ttl_ms", (json_int_t)lease->ttl_ms));
@@ -438,9 +446,8 @@
 {
 	uint64_t id =
 		strtoull(request->http.path + strlen("/kv-keep/"), NULL, 10);
-	struct lease *lease;
+	struct lease *lease = lease_find(kv, id);
 
-	HASH_FIND(hh, kv->leases, &id, sizeof(id), lease);
 	if (!lease) {
 		fake_answer_error(kv->fake, request->id, 404, "no such lease");
 		return;
@@ -451,30 +458,32 @@
 		json_pack("{s:I}", "ttl_ms", (json_int_t)lease->ttl_ms));
 }
 
-static void expire(struct platform_kv *kv, struct lease *lease)
+/* Removes the keys of the lease, then the lease. */
+static void expire(struct platform_kv *kv, uint32_t at)
 {
+	uint64_t id = kv->leases[at].id;
 	struct item *item;
 	struct item *tmp;
 
-	HASH_DEL(kv->leases, lease);
+	kv->leases[at] = kv->leases[--kv->lease_count];
 	HASH_ITER(hh, kv->items, item, tmp)
 	{
-		if (item->lease == lease->id)
+		if (item->lease == id)
 			platform_kv_remove(kv, item->key);
 	}
-	free(lease);
 }
 
 static void on_tick(struct timer *timer)
 {
 	struct platform_kv *kv = timer->ctx;
-	struct lease *lease;
-	struct lease *tmp;
+	uint64_t now = loop_now_ms();
+	uint32_t i = 0;
 
-	HASH_ITER(hh, kv->leases, lease, tmp)
-	{
-		if (loop_now_ms() > lease->until_ms)
-			expire(kv, lease);
+	while (i < kv->lease_count) {
+		if (now > kv->leases[i].until_ms)
+			expire(kv, i);
+		else
+			i++;
 	}
 	timer_start(kv->loop, &kv->tick, LEASE_TICK_MS);
 }
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -659,9 +659,8 @@
 	struct holder *h = l->h;
 	struct celld *d = h->d;
 
-	if (!call_returned(h)) {
-		cd_answer(d, &l->asker, CD_RETRY, 0);
-	} else if (reply->status != PF_OK && reply->status != PF_MISSING) {
+	if (!call_returned(h) ||
+	    (reply->status != PF_OK && reply->status != PF_MISSING)) {
 		cd_answer(d, &l->asker, CD_RETRY, 0);
 	} else {
 		take_jobs(h, reply);
--- a/jaycelld/main.c
+++ b/jaycelld/main.c
@@ -4,14 +4,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <argtable2.h>
 #include <openssl/rand.h>
 
 #include "celld.h"
-#include "platform/minion.h"
 
 #define EXIT_USAGE 1
 #define POLL_MS 20
@@ -21,8 +19,6 @@
 #define DRAIN_MS 2600
 /* Left between the last answers and the end of the grace period, in ms. */
 #define EXIT_MARGIN_MS 700
-/* Long questions queue up at the advice service, in ms. */
-#define ADVICE_TIMEOUT_MS 6000
 
 struct options {
 	char file[PATH_MAX];
@@ -50,54 +46,6 @@
 		stop_requested = 1;
 }
 
-/* Returns the time of day in ms since 1970. */
-uint64_t cd_unix_ms(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_REALTIME, &ts);
-	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
-/* Answers a question of this daemon or of a follower. */
-void cd_answer(struct celld *d, const struct cd_asker *asker,
-	       enum cd_answer answer, uint32_t number)
-{
-	if (asker->link)
-		links_send_answer(d->links, asker, answer, number);
-	else
-		asks_answer(d->asks, asker->ref, answer, number);
-}
-
-/* Asks the advice service on this daemon's lane. */
-void cd_question(struct celld *d, uint32_t handle, const char *step,
-		 const char *const *minions, uint32_t count,
-		 void (*done)(void *ctx, uint32_t question, bool answered,
-			      const struct cell_ticket *good, uint32_t n),
-		 void *ctx)
-{
-	pf_advise(d->httpc, d->conf.advice, handle, step, minions, count,
-		  ADVICE_TIMEOUT_MS, done, ctx);
-}
-
-/* This daemon is the holder from now on. */
-void cd_start_term(struct celld *d, uint64_t token)
-{
-	ev("term-began", "token=%llu", (unsigned long long)token);
-	d->holder = holder_new(d, token);
-	links_announce(d->links);
-}
-
-/* Another daemon is the holder, or none. */
-void cd_end_term(struct celld *d)
-{
-	struct holder *holder = d->holder;
-
-	d->holder = NULL;
-	if (holder)
-		holder_free(holder);
-}
-
 static bool on_turn(void *ctx)
 {
 	struct celld *d = ctx;
