--- a/jayspoke/jayspoke.h
+++ b/jayspoke/jayspoke.h
@@ -82,5 +82,6 @@
 enum exit_status command_stop_cancel(int argc, char **argv);
 enum exit_status command_timeline(int argc, char **argv);
 enum exit_status command_stats(int argc, char **argv);
+enum exit_status command_explain(int argc, char **argv);
 
 #endif
--- a/jayspoke/main.c
+++ b/jayspoke/main.c
@@ -27,6 +27,8 @@
 	{ "stop", "cancel", "cancel a planned stop", command_stop_cancel },
 	{ "timeline", NULL, "print the events of all daemons",
 	  command_timeline },
+	{ "explain", NULL, "print the life of a job, from logs",
+	  command_explain },
 	{ "stats", NULL, "print the state of a daemon and its peers",
 	  command_stats },
 };
