--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -14,8 +14,11 @@
 #define READ_TIMEOUT_MS 2000
 #define READ_RETRY_MS 100
 #define TXN_TIMEOUT_MS 700
-/* Records gather this long for one transaction, in ms. */
-#define GATHER_MS 12
+/*
+ * Transactions of the journal are at least this far apart, in ms: all calls to
+ * the store are paid for, and a job is shown as ended at most this much later.
+ */
+#define GATHER_MS 40
 #define BATCH_MAX 400
 #define JOURNAL_RETRY_MS 60
 /* An order that is not answered by then is followed by a stop, in ms. */
