--- a/jaycelld/accept.c
+++ b/jaycelld/accept.c
@@ -1,5 +1,5 @@
 /*
- * Stores submitted jobs in groups, one transaction at a time. A job is accepted
+ * Stores submitted jobs in groups. A job is accepted
  * once its key exists; the condition that it does not exist yet makes every
  * repetition harmless, also one that the store carries out late.
  */
@@ -10,6 +10,12 @@
 #include "celld.h"
 
 #define TXN_TIMEOUT_MS 600
+/*
+ * Transactions in flight at a time. A further one is sent only when the latest
+ * is slower than a healthy store, in ms; until then jobs gather for the next.
+ */
+#define GROUPS_MAX 4
+#define SLOW_MS 30
 /* Jobs of the last seconds are told to a new holder again, in ms. */
 #define RECENT_MS 12000
 #define RECENT_MAX 4096
@@ -47,6 +53,12 @@
 	struct waiting *next;
 };
 
+/* Jobs of a transaction in flight. */
+struct group {
+	struct acceptor *acceptor;
+	struct waiting *first; /* NULL: the group is free */
+};
+
 struct recent {
 	uint64_t at_ms;
 	struct buf record;
@@ -56,9 +68,11 @@
 	struct celld *d;
 	struct waiting *first;
 	struct waiting **last;
-	struct waiting *sent; /* in the transaction in flight */
+	struct group groups[GROUPS_MAX];
+	uint64_t sent_ms; /* when the latest transaction was sent */
 	struct timer retry;
 	struct timer probe;
+	struct timer slow; /* the transaction in flight is slow */
 	bool probing;
 	struct recent recent[RECENT_MAX];
 	uint32_t recent_at;
@@ -127,14 +141,6 @@
 	free(w);
 }
 
-static struct waiting *take_sent(struct acceptor *a)
-{
-	struct waiting *list = a->sent;
-
-	a->sent = NULL;
-	return list;
-}
-
 static bool key_is(const struct pf_item *item, const char *id)
 {
 	return !strncmp(item->key, CD_JOB_PREFIX, strlen(CD_JOB_PREFIX)) &&
@@ -202,10 +208,12 @@
 
 static void on_commit(void *ctx, const struct pf_reply *reply)
 {
-	struct acceptor *a = ctx;
-	struct waiting *list = take_sent(a);
+	struct group *group = ctx;
+	struct acceptor *a = group->acceptor;
+	struct waiting *list = group->first;
 	bool failed = reply->status != PF_OK && reply->status != PF_CONFLICT;
 
+	group->first = NULL;
 	while (list) {
 		struct waiting *w = list;
 
@@ -276,20 +284,45 @@
 	return false;
 }
 
+/* Returns a free group if another transaction may be sent now, or NULL. */
+static struct group *next_group(struct acceptor *a)
+{
+	uint64_t now = loop_now_ms();
+	struct group *free_group = NULL;
+	bool in_flight = false;
+
+	for (uint32_t i = 0; i < GROUPS_MAX; i++) {
+		if (a->groups[i].first)
+			in_flight = true;
+		else
+			free_group = &a->groups[i];
+	}
+	if (!in_flight || now >= a->sent_ms + SLOW_MS)
+		return free_group;
+	if (!a->slow.heap_pos)
+		timer_start(a->d->loop, &a->slow, SLOW_MS);
+	return NULL;
+}
+
 static void flush(struct acceptor *a)
 {
 	static char keys[PF_TXN_MAX][sizeof(CD_JOB_PREFIX) + CELL_ID_MAX];
 	struct pf_txn txn = { 0 };
-	struct waiting **tail = &a->sent;
+	struct group *group;
+	struct waiting **tail;
 	uint32_t n = 0;
 
 	if (store_unavailable(a))
 		turn_away(a);
-	if (a->sent || !a->first || a->retry.heap_pos)
+	if (!a->first || a->retry.heap_pos)
+		return;
+	group = next_group(a);
+	if (!group)
 		return;
+	tail = &group->first;
 	/* The other one with the same id waits for the next transaction. */
 	while (a->first && n < PF_TXN_MAX - 1 &&
-	       !in_group(a->sent, a->first->id)) {
+	       !in_group(group->first, a->first->id)) {
 		struct waiting *w = a->first;
 
 		a->first = w->next;
@@ -307,7 +340,8 @@
 		a->last = &a->first;
 	txn.condition_count = n;
 	txn.put_count = n;
-	pf_commit(a->d->store, &txn, TXN_TIMEOUT_MS, on_commit, a);
+	a->sent_ms = loop_now_ms();
+	pf_commit(a->d->store, &txn, TXN_TIMEOUT_MS, on_commit, group);
 }
 
 static void on_retry(struct timer *timer)
@@ -344,5 +378,8 @@
 	a->last = &a->first;
 	a->retry = (struct timer){ .fn = on_retry, .ctx = a };
 	a->probe = (struct timer){ .fn = on_probe, .ctx = a };
+	a->slow = (struct timer){ .fn = on_retry, .ctx = a };
+	for (uint32_t i = 0; i < GROUPS_MAX; i++)
+		a->groups[i].acceptor = a;
 	return a;
 }
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -20,6 +20,12 @@
  */
 #define GATHER_MS 40
 #define BATCH_MAX 400
+/*
+ * Batches in flight at a time. A slow store, of 0.2 s an answer, still takes
+ * one every GATHER_MS. A gap that a dead holder leaves does no harm: what is
+ * missing was neither observed nor shown.
+ */
+#define BATCHES_MAX 6
 #define JOURNAL_RETRY_MS 60
 /* An order that is not answered by then is followed by a stop, in ms. */
 #define ORDER_TIMEOUT_MS 600
@@ -45,6 +51,17 @@
 
 enum phase { PHASE_JOBS, PHASE_JOURNAL, PHASE_READY };
 
+/* A transaction of the journal that is not known to be durable yet. */
+struct batch {
+	struct holder *holder;
+	struct buf bytes;
+	uint32_t number;
+	uint32_t records;
+	uint64_t last_seq;
+	uint64_t sent_ms; /* 0: to be sent again */
+	bool durable;	  /* but one before it is not */
+};
+
 struct unwritten {
 	uint64_t seq;
 	struct buf bytes;
@@ -77,11 +94,13 @@
 	uint32_t queue_head;
 	uint32_t queue_count;
 	uint32_t queue_capacity;
-	uint32_t batch_count; /* records in the transaction in flight */
-	struct buf batch;
-	uint32_t batch_number;
-	uint64_t batch_sent_ms;
-	uint64_t batch_after_ms;
+	struct batch batches[BATCHES_MAX]; /* in order from batch_first on */
+	uint32_t batch_first;
+	uint32_t batch_open;
+	uint32_t batch_number;	 /* of the next batch */
+	uint32_t batch_records;	 /* of the queue, in open batches */
+	uint64_t batch_next_ms;	 /* a new batch not before */
+	uint64_t batch_retry_ms; /* an unanswered one not before */
 	char (*old_batches)[JOURNAL_KEY_MAX]; /* to be replaced */
 	uint32_t old_count;
 	uint64_t snapshot_seq; /* last record of a snapshot, 0: none */
@@ -90,7 +109,7 @@
 	uint32_t cancel_count;
 	struct timer tick;
 	ctr_id starts;
-	ctr_id batches;
+	ctr_id batches_written;
 	ctr_id recovery_us;
 };
 
@@ -114,7 +133,8 @@
 	free(h->cancels);
 	free(h->old_batches);
 	free(h->infos);
-	buf_free(&h->batch);
+	for (uint32_t i = 0; i < BATCHES_MAX; i++)
+		buf_free(&h->batches[i].bytes);
 	free(h);
 }
 
@@ -321,10 +341,11 @@
 	return false;
 }
 
-static void batch_key(const struct holder *h, char key[JOURNAL_KEY_MAX])
+static void batch_key(const struct holder *h, uint32_t number,
+		      char key[JOURNAL_KEY_MAX])
 {
 	snprintf(key, JOURNAL_KEY_MAX, CD_JOURNAL_PREFIX "%020llu/%08u",
-		 (unsigned long long)h->token, h->batch_number);
+		 (unsigned long long)h->token, number);
 }
 
 /* A batch exists that a later snapshot can replace. */
@@ -367,87 +388,120 @@
 	h->snapshot_seq = 0;
 }
 
-static void batch_written(struct holder *h)
+/* The first open batch is durable. */
+static void first_written(struct holder *h)
 {
+	struct batch *b = &h->batches[h->batch_first];
 	char key[JOURNAL_KEY_MAX];
-	uint64_t seq = h->queue[h->queue_head + h->batch_count - 1].seq;
+	uint64_t seq = b->last_seq;
 
-	for (uint32_t i = 0; i < h->batch_count; i++)
+	for (uint32_t i = 0; i < b->records; i++)
 		buf_free(&h->queue[h->queue_head + i].bytes);
-	h->queue_head += h->batch_count;
-	h->batch_count = 0;
-	batch_key(h, key);
+	h->queue_head += b->records;
+	h->batch_records -= b->records;
+	h->batch_first = (h->batch_first + 1) % BATCHES_MAX;
+	h->batch_open--;
+	batch_key(h, b->number, key);
 	note_batch(h, key);
-	h->batch_number++;
-	buf_free(&h->batch);
-	ctr_add(h->batches, 1);
+	buf_free(&b->bytes);
+	*b = (struct batch){ 0 };
+	ctr_add(h->batches_written, 1);
 	cell_recorded(h->cell, seq, loop_now_ms());
 	answer_cancels(h, seq);
 	finish_snapshot(h, seq);
 	consider_snapshot(h);
 }
 
+/* Records count as durable in their order, whatever order answers come in. */
+static void batch_written(struct holder *h, struct batch *batch)
+{
+	batch->durable = true;
+	while (h->batch_open && h->batches[h->batch_first].durable)
+		first_written(h);
+}
+
 static void on_batch(void *ctx, const struct pf_reply *reply)
 {
-	struct holder *h = ctx;
-	uint64_t now = loop_now_ms();
+	struct batch *b = ctx;
+	struct holder *h = b->holder;
 
 	if (!call_returned(h))
 		return;
 	if (reply->status == PF_OK) {
-		terms_confirmed(h->d->terms, h->batch_sent_ms);
-		batch_written(h);
+		terms_confirmed(h->d->terms, b->sent_ms);
+		batch_written(h, b);
 	} else if (reply->status == PF_CONFLICT &&
 		   !item_is(reply, CD_HOLDER_KEY, h->token)) {
 		terms_step_down(h->d->terms, "journal is fenced");
 	} else if (reply->status == PF_CONFLICT) {
 		/* An earlier try of this batch was carried out. */
-		batch_written(h);
+		batch_written(h, b);
 	} else {
 		ev("journal-retry", "status=%d records=%u waited_ms=%u",
-		   reply->status, h->batch_count, reply->took_ms);
-		h->batch_sent_ms = 0;
-		h->batch_after_ms = now + JOURNAL_RETRY_MS;
+		   reply->status, b->records, reply->took_ms);
+		b->sent_ms = 0;
+		h->batch_retry_ms = loop_now_ms() + JOURNAL_RETRY_MS;
 	}
 }
 
-/* Writes the next batch, or the one that had no answer again. */
-static void write_batch(struct holder *h, uint64_t now)
+static void send_batch(struct holder *h, struct batch *b, uint64_t now)
 {
 	char key[JOURNAL_KEY_MAX];
 	struct pf_txn txn = { .condition_count = 2, .put_count = 1 };
-	struct buf records = { 0 };
 
-	if (now < h->batch_after_ms || (h->batch_count && h->batch_sent_ms))
-		return;
-	if (!h->batch_count) {
-		uint32_t n = h->queue_count - h->queue_head;
-
-		if (!n)
-			return;
-		if (n > BATCH_MAX)
-			n = BATCH_MAX;
-		for (uint32_t i = 0; i < n; i++) {
-			const struct buf *b =
-				&h->queue[h->queue_head + i].bytes;
-
-			buf_append(&records, b->data, b->len);
-		}
-		record_pack_batch(&records, n, &h->batch);
-		buf_free(&records);
-		h->batch_count = n;
-	}
-	batch_key(h, key);
+	batch_key(h, b->number, key);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = h->token };
 	txn.conditions[1] = (struct pf_condition){ .key = key };
 	txn.puts[0] = (struct pf_put){ .key = key,
-				       .value = h->batch.data,
-				       .len = h->batch.len };
-	h->batch_sent_ms = now;
-	h->batch_after_ms = now + GATHER_MS;
+				       .value = b->bytes.data,
+				       .len = b->bytes.len };
+	b->sent_ms = now;
 	h->calls++;
-	pf_commit(h->d->store, &txn, TXN_TIMEOUT_MS, on_batch, h);
+	pf_commit(h->d->store, &txn, TXN_TIMEOUT_MS, on_batch, b);
+}
+
+/* Puts the records that wait into a new batch; there is at least one. */
+static struct batch *fill_batch(struct holder *h)
+{
+	uint32_t first = h->queue_head + h->batch_records;
+	uint32_t n = h->queue_count - first;
+	uint32_t at = (h->batch_first + h->batch_open) % BATCHES_MAX;
+	struct batch *b = &h->batches[at];
+	struct buf records = { 0 };
+
+	if (n > BATCH_MAX)
+		n = BATCH_MAX;
+	for (uint32_t i = 0; i < n; i++)
+		buf_append(&records, h->queue[first + i].bytes.data,
+			   h->queue[first + i].bytes.len);
+	*b = (struct batch){ .holder = h,
+			     .number = h->batch_number++,
+			     .records = n,
+			     .last_seq = h->queue[first + n - 1].seq };
+	record_pack_batch(&records, n, &b->bytes);
+	buf_free(&records);
+	h->batch_open++;
+	h->batch_records += n;
+	return b;
+}
+
+/* Writes the next batch, and again those that had no answer. */
+static void write_batches(struct holder *h, uint64_t now)
+{
+	for (uint32_t i = 0; i < h->batch_open && now >= h->batch_retry_ms;
+	     i++) {
+		struct batch *b =
+			&h->batches[(h->batch_first + i) % BATCHES_MAX];
+
+		if (!b->durable && !b->sent_ms)
+			send_batch(h, b, now);
+	}
+	if (h->batch_open == BATCHES_MAX || now < h->batch_next_ms ||
+	    h->queue_head + h->batch_records == h->queue_count)
+		return;
+	h->batch_next_ms = now + GATHER_MS;
+	send_batch(h, fill_batch(h), now);
 }
 
 /* Takes a stored job; @fresh tells that no earlier holder can know it. */
@@ -808,7 +862,7 @@
 		poll_jobs(h, now_ms);
 	cell_set_valid(h->cell, terms_valid(h->d->terms, now_ms));
 	cell_tick(h->cell, cd_unix_ms(), now_ms);
-	write_batch(h, now_ms);
+	write_batches(h, now_ms);
 	tidy_tick(h->tidy, now_ms);
 }
 
@@ -841,8 +895,8 @@
 	h->cell = cell_new(&h->owner, &settings, h->began_ms);
 	h->tick = (struct timer){ .fn = on_tick, .ctx = h };
 	h->starts = ctr_counter("jaycelld_starts_total", "Runs ordered.");
-	h->batches = ctr_counter("jaycelld_journal_batches_total",
-				 "Batches written to the journal.");
+	h->batches_written = ctr_counter("jaycelld_journal_batches_total",
+					 "Batches written to the journal.");
 	h->recovery_us = ctr_histogram("jaycelld_recovery_seconds",
 				       "From a claim until the cell is known.");
 	cell_set_config(h->cell, config_current(d->config));
--- a/tests/accept_test.cc
+++ b/tests/accept_test.cc
@@ -148,6 +148,20 @@
 		  (std::vector<enum cd_answer>{ CD_OK, CD_OK, CD_OK }));
 }
 
+/* Guards against jobs that wait for the answer of a slow store to others. */
+TEST_F(Accept, ASlowTransactionDoesNotHoldUpTheNext)
+{
+	add("a");
+	add("b");
+	ASSERT_EQ(commits.size(), 1U);
+	wait(60);
+	ASSERT_EQ(commits.size(), 2U);
+	answer(1, PF_OK);
+	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_OK }));
+	answer(0, PF_OK);
+	EXPECT_EQ(answers, (std::vector<enum cd_answer>{ CD_OK, CD_OK }));
+}
+
 /* Guards against a refusal of a job that an earlier, lost try has stored. */
 TEST_F(Accept, AKeyThatExistsMeansAccepted)
 {
