Tell a former holder and its followers who has taken over

Cause, from its log: a new holder was known only by the store, so the former one kept its followers for 8 s, and all three answered 503 meanwhile. A follower that leaves tells the former holder the term and the address of the new one, which it passes on.

--- a/fakes/fakeplatform.c
+++ b/fakes/fakeplatform.c
@@ -1,6 +1,6 @@
 /*
- * A platform in one process: the first port is its store, the second the advice
- * service, and each further one a minion.
+ * A platform in one process: the first and the third port are its store, the
+ * second the advice service, and each further one a minion.
  */
 #include <stdio.h>
 
@@ -10,7 +10,9 @@
 #define BODY_MAX (8U << 20)
 #define STORE_PORT 0
 #define ADVICE_PORT 1
-#define FIRST_MINION_PORT 2
+/* Another way to the store, so that faults can cut off single daemons. */
+#define SECOND_STORE_PORT 2
+#define FIRST_MINION_PORT 3
 
 struct platform {
 	struct loop *loop;
@@ -23,7 +25,7 @@
 {
 	struct platform *p = ctx;
 
-	if (request->port == STORE_PORT)
+	if (request->port == STORE_PORT || request->port == SECOND_STORE_PORT)
 		platform_kv_handle(p->kv, request);
 	else if (request->port == ADVICE_PORT)
 		platform_advise(p->minions, request);
@@ -63,7 +65,7 @@
 		return 1;
 	}
 	if (fake_port_count(p.fake) <= FIRST_MINION_PORT) {
-		fputs("fakeplatform: needs at least three ports\n", stderr);
+		fputs("fakeplatform: needs at least four ports\n", stderr);
 		return 1;
 	}
 	platform_kv_open(p.kv, p.fake);
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -136,6 +136,7 @@
 bool links_store_unreachable(const struct links *links, uint64_t now_ms);
 bool links_store_seen(const struct links *links, uint64_t term, uint64_t now_ms,
 		      uint64_t *seen_ms);
+void links_moved(struct links *links, uint64_t term, const char *addr);
 void links_tick(struct links *links, uint64_t now_ms);
 
 /* terms.c: who is the holder. */
@@ -143,6 +144,7 @@
 struct terms *terms_new(struct celld *d);
 void terms_tick(struct terms *terms, uint64_t now_ms);
 void terms_released(struct terms *terms);
+void terms_moved(struct terms *terms, uint64_t term, const char *addr);
 void terms_step_down(struct terms *terms, const char *why);
 void terms_confirmed(struct terms *terms, uint64_t sent_ms);
 void terms_yield(struct terms *terms);
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -17,6 +17,9 @@
 /* A dialled connection has to be up by then, in ms. */
 #define HANDSHAKE_MS 500
 #define REDIAL_MS 100
+/* The connection to a former holder stays this long, for a last frame, in ms.
+ */
+#define FORMER_MS 200
 /* A silent connection is replaced: it may have been lost on the way, in ms. */
 #define SILENT_MS 800
 #define FOLLOWER_SILENT_MS 2000
@@ -35,7 +38,8 @@
 	FRAME_QUERY,
 	FRAME_ANSWER,
 	FRAME_QUESTION,
-	FRAME_ADVICE
+	FRAME_ADVICE,
+	FRAME_MOVED
 };
 
 struct follower {
@@ -54,6 +58,8 @@
 	h2o_socket_t *listener;
 	char target[CELL_ADDR_MAX]; /* the holder, empty: none */
 	struct link *holder;	    /* dialled */
+	struct link *former;	    /* the holder before, about to be closed */
+	uint64_t former_ms;	    /* when it is closed */
 	uint64_t holder_token;	    /* as it said; 0: it is not the holder */
 	bool holder_valid;
 	uint32_t holder_store_age;
@@ -496,12 +502,51 @@
 	return true;
 }
 
+/* Tells the other end who holds the cell; the store may not serve it. */
+static void send_moved(struct link *link, uint64_t term, const char *addr)
+{
+	struct buf body = { 0 };
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, &body, write_buf);
+	msgpack_pack_array(&pk, 2);
+	msgpack_pack_uint64(&pk, term);
+	pack_text(&pk, addr, strlen(addr));
+	send_body(link, FRAME_MOVED, &body);
+}
+
+/* Passes on to the followers that another daemon holds the cell. */
+void links_moved(struct links *l, uint64_t term, const char *addr)
+{
+	for (uint32_t i = 0; i < l->follower_count; i++) {
+		if (l->followers[i].link)
+			send_moved(l->followers[i].link, term, addr);
+	}
+}
+
+static bool on_moved(struct links *l, const msgpack_object *f)
+{
+	char *addr = get_text(&f[1]);
+	uint64_t term;
+	bool ok = addr && get_u64(&f[0], &term);
+
+	if (ok)
+		terms_moved(l->d->terms, term, addr);
+	free(addr);
+	return ok;
+}
+
 static bool handle(struct links *l, struct link *link,
 		   const struct frame *frame)
 {
 	const msgpack_object *f;
 
+	if (link->dialled && link != l->holder)
+		return true;
 	switch (frame->type) {
+	case FRAME_MOVED:
+		f = fields(frame, 2);
+		return f && on_moved(l, f);
 	case FRAME_STATE:
 		f = fields(frame, 5);
 		if (!f)
@@ -609,6 +654,8 @@
 	uint32_t at = link->handle & 0xffff;
 
 	if (link->dialled) {
+		if (link == l->former)
+			l->former = NULL;
 		if (link != l->holder)
 			return;
 		/* A dark host does not answer at all. */
@@ -643,6 +690,23 @@
 	.down = on_down,
 };
 
+/* Tells the former holder who has taken over, and closes the connection soon.
+ */
+static void leave_holder(struct links *l)
+{
+	struct link *link = l->holder;
+
+	if (l->former)
+		link_close(l->former, "another holder");
+	ev("holder-left", "addr=%s term=%llu", link->addr,
+	   (unsigned long long)terms_seen(l->d->terms));
+	l->holder = NULL;
+	l->holder_token = 0;
+	l->former = link;
+	l->former_ms = loop_now_ms() + FORMER_MS;
+	send_moved(link, terms_seen(l->d->terms), l->target);
+}
+
 /* Connects to the holder at @addr, and to no other any more. */
 void links_follow(struct links *l, const char *addr)
 {
@@ -652,7 +716,7 @@
 	l->refused = false;
 	l->dial_ms = 0;
 	if (l->holder)
-		link_close(l->holder, "another holder");
+		leave_holder(l);
 	l->dial_ms = 0;
 }
 
@@ -681,13 +745,18 @@
 {
 	struct link *h = l->holder;
 
-	if (h && terms_token(l->d->terms))
-		link_close(h, "own term");
-	else if (h && h->state != LINK_UP &&
-		 now_ms > h->opened_ms + HANDSHAKE_MS)
+	if (h && terms_token(l->d->terms)) {
+		snprintf(l->target, sizeof(l->target), "%s",
+			 l->d->conf.listen_peers);
+		leave_holder(l);
+	}
+	h = l->holder;
+	if (h && h->state != LINK_UP && now_ms > h->opened_ms + HANDSHAKE_MS)
 		link_close(h, "handshake timeout");
 	else if (h && h->state == LINK_UP && now_ms > h->heard_ms + SILENT_MS)
 		link_close(h, "silent");
+	if (l->former && now_ms >= l->former_ms)
+		link_close(l->former, "another holder");
 	dial(l, now_ms);
 	for (uint32_t i = 0; i < l->follower_count; i++) {
 		struct link *f = l->followers[i].link;
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -175,6 +175,30 @@
 	asks_holder_changed(t->d->asks);
 }
 
+/*
+ * Another daemon says who holds the cell. The store orders the terms, but it
+ * may not serve this daemon at the moment.
+ */
+void terms_moved(struct terms *t, uint64_t term, const char *addr)
+{
+	if (term <= t->seen)
+		return;
+	t->seen = term;
+	t->seen_ms = loop_now_ms();
+	t->released = false;
+	t->claim_at_ms = 0;
+	t->nonce[0] = '\0';
+	snprintf(t->holder, sizeof(t->holder), "-");
+	snprintf(t->addr, sizeof(t->addr), "%s", addr);
+	ev("holder", "name=- addr=%s term=%llu from=peer", addr,
+	   (unsigned long long)term);
+	if (t->token)
+		terms_step_down(t, "another daemon has taken over");
+	links_moved(t->d->links, term, addr);
+	links_follow(t->d->links, addr);
+	asks_holder_changed(t->d->asks);
+}
+
 static void take_items(struct terms *t, const struct pf_reply *reply)
 {
 	for (uint32_t i = 0; i < reply->count; i++) {
--- a/tests/process/cell.sh
+++ b/tests/process/cell.sh
@@ -1,7 +1,7 @@
 # shellcheck shell=sh
 # Functions for a cell of jaycelld daemons beside the test double of a platform.
-# Sourced after lib.sh. Ports from BASE: 0 store, 1 advice, 2.. minions, and four
-# for each daemon from 100 on.
+# Sourced after lib.sh. Ports from BASE: 0 and 2 store, 1 advice, 3.. minions, and
+# four for each daemon from 100 on. Daemon 1 reaches the store by port 2.
 
 CELL_MINIONS=${CELL_MINIONS:-6}
 CELL_DAEMONS=${CELL_DAEMONS:-3}
@@ -23,7 +23,7 @@
 		  "listen_ready": "127.0.0.1:$(cell_port "$1" 1)",
 		  "listen_peers": "127.0.0.1:$(cell_port "$1" 2)",
 		  "listen_operators": "127.0.0.1:$(cell_port "$1" 3)",
-		  "store": "127.0.0.1:$BASE", "advice": "127.0.0.1:$((BASE + 1))",
+		  "store": "127.0.0.1:$((BASE + ($1 == 1 ? 2 : 0)))", "advice": "127.0.0.1:$((BASE + 1))",
 		  "cpu_share": 1.0, "lease_ms": 5500, "hold_max_ms": 6000,
 		  "stop_timeout_ms": 400, "status_s": 120, "grace_s": 6,
 		  "snapshot_batches": 8 }
@@ -58,7 +58,7 @@
 cell_open() {
 	test_open "$1" "$2"
 	start_fake platform fakeplatform --base-port "$BASE" \
-		--count $((CELL_MINIONS + 2))
+		--count $((CELL_MINIONS + 3))
 	check "configuration is written" cell_config 3
 	n=1
 	while [ $n -le "$CELL_DAEMONS" ]; do
