--- a/jaycelld/config.c
+++ b/jaycelld/config.c
@@ -19,7 +19,7 @@
 	struct celld *d;
 	struct cell_config current; /* version 0: none yet */
 	struct cell_config former;  /* may be in use by the scheduler */
-	uint64_t as_of;
+	uint64_t read_revision;
 	uint64_t confirmed_ms; /* sent time of the latest read that held */
 	uint64_t sent_ms;
 	uint64_t confirm_sent_ms;
@@ -79,8 +79,8 @@
 		/* A watch can miss changes; only a read confirms. */
 		if (reply->count)
 			c->confirmed_ms = c->sent_ms;
-		if (reply->as_of > c->as_of)
-			c->as_of = reply->as_of;
+		if (reply->read_revision > c->read_revision)
+			c->read_revision = reply->read_revision;
 		watch(c);
 		return;
 	}
@@ -97,7 +97,8 @@
 static void watch(struct config_watch *c)
 {
 	c->sent_ms = loop_now_ms();
-	pf_watch(c->d->store, PF_CONFIG_KEY, c->as_of, WATCH_MS, on_watch, c);
+	pf_watch(c->d->store, PF_CONFIG_KEY, c->read_revision, WATCH_MS,
+		 on_watch, c);
 }
 
 static void on_read(void *ctx, const struct pf_reply *reply)
@@ -110,7 +111,7 @@
 	}
 	take_items(c, reply);
 	c->confirmed_ms = c->sent_ms;
-	c->as_of = reply->as_of;
+	c->read_revision = reply->read_revision;
 	watch(c);
 }
 
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -83,7 +83,7 @@
 	bool closed; /* freed once its calls have returned */
 	uint32_t calls;
 	char after[JOURNAL_KEY_MAX * 4];
-	uint64_t jobs_as_of;
+	uint64_t jobs_revision;
 	bool jobs_polling;
 	uint64_t jobs_poll_ms;
 	bool minions_polling;
@@ -558,15 +558,16 @@
 		h->jobs_poll_ms = loop_now_ms() + READ_RETRY_MS;
 		return;
 	}
-	ev("recovery-page", "phase=%u count=%u more=%d as_of=%llu took_ms=%u",
-	   h->phase, reply->count, reply->more,
-	   (unsigned long long)reply->as_of, reply->took_ms);
+	ev("recovery-page",
+	   "phase=%u count=%u more=%d revision=%llu took_ms=%u", h->phase,
+	   reply->count, reply->more, (unsigned long long)reply->read_revision,
+	   reply->took_ms);
 	if (reply->count)
 		snprintf(h->after, sizeof(h->after), "%s",
 			 reply->items[reply->count - 1].key);
 	if (h->phase == PHASE_JOBS) {
-		if (!h->jobs_as_of)
-			h->jobs_as_of = reply->as_of;
+		if (!h->jobs_revision)
+			h->jobs_revision = reply->read_revision;
 		take_jobs(h, reply);
 	}
 	for (uint32_t i = 0; h->phase == PHASE_JOURNAL && i < reply->count;
@@ -613,7 +614,7 @@
 		return;
 	}
 	h->after[0] = '\0';
-	h->jobs_as_of = reply->as_of;
+	h->jobs_revision = reply->read_revision;
 }
 
 static void on_jobs(void *ctx, const struct pf_reply *reply)
@@ -624,15 +625,15 @@
 		return;
 	h->jobs_polling = false;
 	if (reply->status == PF_GONE) {
-		h->jobs_as_of = 0;
+		h->jobs_revision = 0;
 		h->jobs_poll_ms = 0;
 		return;
 	}
 	if (reply->status != PF_OK)
 		return;
 	take_jobs(h, reply);
-	if (reply->as_of > h->jobs_as_of)
-		h->jobs_as_of = reply->as_of;
+	if (reply->read_revision > h->jobs_revision)
+		h->jobs_revision = reply->read_revision;
 }
 
 /* Looks for jobs whose daemon has stored them and could not tell. */
@@ -643,9 +644,9 @@
 		now + (links_missing(h->d->links, now) ? JOBS_POLL_SOON_MS
 						       : JOBS_POLL_MS);
 	h->calls++;
-	if (h->jobs_as_of)
-		pf_watch(h->d->store, CD_JOB_PREFIX, h->jobs_as_of, 1, on_jobs,
-			 h);
+	if (h->jobs_revision)
+		pf_watch(h->d->store, CD_JOB_PREFIX, h->jobs_revision, 1,
+			 on_jobs, h);
 	else
 		pf_range(h->d->store, CD_JOB_PREFIX,
 			 h->after[0] ? h->after : NULL, READ_TIMEOUT_MS,
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -10,6 +10,7 @@
 
 #include "addr.h"
 #include "celld.h"
+#include "mp.h"
 #include "peer/link.h"
 
 #define TICK_MS 50
@@ -78,18 +79,6 @@
 	struct link *link;
 };
 
-static int write_buf(void *ctx, const char *data, size_t len)
-{
-	buf_append(ctx, data, len);
-	return 0;
-}
-
-static void pack_text(msgpack_packer *pk, const char *text, size_t len)
-{
-	msgpack_pack_str(pk, len);
-	msgpack_pack_str_body(pk, text, len);
-}
-
 static void pack_blob(msgpack_packer *pk, const struct buf *blob)
 {
 	size_t len = blob ? blob->len : 0;
@@ -122,7 +111,7 @@
 	struct buf body = { 0 };
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, &body, write_buf);
+	mp_open(&pk, &body);
 	msgpack_pack_array(&pk, 5);
 	msgpack_pack_uint64(&pk, terms_token(l->d->terms));
 	msgpack_pack_uint64(&pk, terms_seen(l->d->terms));
@@ -216,11 +205,11 @@
 	struct buf body = { 0 };
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, &body, write_buf);
+	mp_open(&pk, &body);
 	msgpack_pack_array(&pk, 4);
 	msgpack_pack_uint32(&pk, ref);
 	msgpack_pack_uint32(&pk, op);
-	pack_text(&pk, text, strlen(text));
+	mp_pack_text(&pk, text);
 	pack_blob(&pk, blob);
 	return send_body(l->holder, FRAME_QUERY, &body);
 }
@@ -231,7 +220,7 @@
 	struct buf body = { 0 };
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, &body, write_buf);
+	mp_open(&pk, &body);
 	msgpack_pack_array(&pk, 2);
 	pack_blob(&pk, record);
 	msgpack_pack_uint32(&pk, fresh);
@@ -259,7 +248,7 @@
 
 	if (!link)
 		return;
-	msgpack_packer_init(&pk, &body, write_buf);
+	mp_open(&pk, &body);
 	msgpack_pack_array(&pk, 3);
 	msgpack_pack_uint32(&pk, asker->ref);
 	msgpack_pack_uint32(&pk, answer);
@@ -281,33 +270,15 @@
 		buf_append(&ids, q->minions[i], strlen(q->minions[i]));
 		buf_append(&ids, "\n", 1);
 	}
-	msgpack_packer_init(&pk, &body, write_buf);
+	mp_open(&pk, &body);
 	msgpack_pack_array(&pk, 3);
 	msgpack_pack_uint32(&pk, q->handle);
-	pack_text(&pk, q->step, strlen(q->step));
-	pack_text(&pk, ids.data, ids.len);
+	mp_pack_text(&pk, q->step);
+	mp_pack_text(&pk, ids.data);
 	buf_free(&ids);
 	return send_body(l->followers[lane - 1].link, FRAME_QUESTION, &body);
 }
 
-static bool get_u64(const msgpack_object *o, uint64_t *out)
-{
-	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-		return false;
-	*out = o->via.u64;
-	return true;
-}
-
-static bool get_u32(const msgpack_object *o, uint32_t *out)
-{
-	uint64_t v;
-
-	if (!get_u64(o, &v) || v > UINT32_MAX)
-		return false;
-	*out = (uint32_t)v;
-	return true;
-}
-
 static char *get_text(const msgpack_object *o)
 {
 	if (o->type != MSGPACK_OBJECT_STR)
@@ -329,8 +300,8 @@
 	struct follower *follower = &l->followers[(link->handle & 0xffff) - 1];
 
 	follower->state_ms = loop_now_ms();
-	return get_u64(&f[1], &follower->term) &&
-	       get_u64(&f[3], &follower->store_age_ms);
+	return mp_get_u64(&f[1], &follower->term) &&
+	       mp_get_u64(&f[3], &follower->store_age_ms);
 }
 
 static bool on_holder_state(struct links *l, const msgpack_object *f)
@@ -340,8 +311,9 @@
 	uint32_t released;
 	bool was_up = links_up(l);
 
-	if (!get_u64(&f[0], &token) || !get_u32(&f[2], &valid) ||
-	    !get_u32(&f[3], &l->holder_store_age) || !get_u32(&f[4], &released))
+	if (!mp_get_u64(&f[0], &token) || !mp_get_u32(&f[2], &valid) ||
+	    !mp_get_u32(&f[3], &l->holder_store_age) ||
+	    !mp_get_u32(&f[4], &released))
 		return false;
 	l->holder_token = token;
 	l->holder_valid = valid;
@@ -364,8 +336,9 @@
 	char *text = get_text(&f[2]);
 	struct buf blob = { 0 };
 	uint32_t op;
-	bool ok = text && get_u32(&f[0], &asker.ref) && get_u32(&f[1], &op) &&
-		  op < CD_OPS && f[3].type == MSGPACK_OBJECT_BIN;
+	bool ok = text && mp_get_u32(&f[0], &asker.ref) &&
+		  mp_get_u32(&f[1], &op) && op < CD_OPS &&
+		  f[3].type == MSGPACK_OBJECT_BIN;
 
 	if (ok) {
 		if (f[3].via.bin.size)
@@ -387,8 +360,8 @@
 	uint32_t answer;
 	uint32_t number;
 
-	if (!get_u32(&f[0], &ref) || !get_u32(&f[1], &answer) ||
-	    answer >= CD_ANSWERS || !get_u32(&f[2], &number))
+	if (!mp_get_u32(&f[0], &ref) || !mp_get_u32(&f[1], &answer) ||
+	    answer >= CD_ANSWERS || !mp_get_u32(&f[2], &number))
 		return false;
 	asks_answer(l->d->asks, ref, (enum cd_answer)answer, number);
 	return true;
@@ -413,11 +386,11 @@
 				   strlen(good[i].ticket));
 			buf_append(&rows, "\n", 1);
 		}
-		msgpack_packer_init(&pk, &body, write_buf);
+		mp_open(&pk, &body);
 		msgpack_pack_array(&pk, 3);
 		msgpack_pack_uint32(&pk, question);
 		msgpack_pack_uint32(&pk, answered);
-		pack_text(&pk, rows.data ? rows.data : "", rows.len);
+		mp_pack_text(&pk, rows.data);
 		send_body(l->holder, FRAME_ADVICE, &body);
 		buf_free(&rows);
 	}
@@ -444,7 +417,7 @@
 	struct remote_question *r;
 	uint32_t handle;
 	uint32_t n;
-	bool ok = step && ids && get_u32(&f[0], &handle);
+	bool ok = step && ids && mp_get_u32(&f[0], &handle);
 
 	if (ok) {
 		n = split_lines(ids, lines, CELL_QUESTION_MAX);
@@ -469,7 +442,8 @@
 	uint32_t handle;
 	uint32_t answered;
 	uint32_t n = 0;
-	bool ok = rows && get_u32(&f[0], &handle) && get_u32(&f[1], &answered);
+	bool ok = rows && mp_get_u32(&f[0], &handle) &&
+		  mp_get_u32(&f[1], &answered);
 
 	if (ok) {
 		uint32_t count = split_lines(rows, lines, CELL_QUESTION_MAX);
@@ -494,7 +468,7 @@
 {
 	uint32_t fresh;
 
-	if (f[0].type != MSGPACK_OBJECT_BIN || !get_u32(&f[1], &fresh))
+	if (f[0].type != MSGPACK_OBJECT_BIN || !mp_get_u32(&f[1], &fresh))
 		return false;
 	if (l->d->holder)
 		holder_job(l->d->holder, f[0].via.bin.ptr, f[0].via.bin.size,
@@ -508,10 +482,10 @@
 	struct buf body = { 0 };
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, &body, write_buf);
+	mp_open(&pk, &body);
 	msgpack_pack_array(&pk, 2);
 	msgpack_pack_uint64(&pk, term);
-	pack_text(&pk, addr, strlen(addr));
+	mp_pack_text(&pk, addr);
 	send_body(link, FRAME_MOVED, &body);
 }
 
@@ -528,7 +502,7 @@
 {
 	char *addr = get_text(&f[1]);
 	uint64_t term;
-	bool ok = addr && get_u64(&f[0], &term);
+	bool ok = addr && mp_get_u64(&f[0], &term);
 
 	if (ok)
 		terms_moved(l->d->terms, term, addr);
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -9,6 +9,7 @@
 #include <msgpack.h>
 
 #include "celld.h"
+#include "mp.h"
 
 #define RECORD_VERSION 1
 #define JOB_FIELDS 9
@@ -23,20 +24,6 @@
 	STEP_FILLS = 32
 };
 
-static int write_buf(void *ctx, const char *data, size_t len)
-{
-	buf_append(ctx, data, len);
-	return 0;
-}
-
-static void pack_text(msgpack_packer *pk, const char *text)
-{
-	size_t len = text ? strlen(text) : 0;
-
-	msgpack_pack_str(pk, len);
-	msgpack_pack_str_body(pk, text ? text : "", len);
-}
-
 static uint32_t step_flags(const struct cell_step_spec *s)
 {
 	return (s->gang ? STEP_GANG : 0) | (s->same_rack ? STEP_SAME_RACK : 0) |
@@ -59,9 +46,9 @@
 	msgpack_pack_uint32(pk, s->target_ms);
 	msgpack_pack_uint32(pk, s->may_miss);
 	msgpack_pack_uint32(pk, step_flags(s));
-	pack_text(pk, s->requires);
-	pack_text(pk, s->affinity);
-	pack_text(pk, s->image);
+	mp_pack_text(pk, s->requires);
+	mp_pack_text(pk, s->affinity);
+	mp_pack_text(pk, s->image);
 }
 
 /* Appends the encoded job to @out. */
@@ -69,12 +56,12 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_buf);
+	mp_open(&pk, out);
 	msgpack_pack_array(&pk, JOB_FIELDS);
 	msgpack_pack_uint32(&pk, RECORD_VERSION);
-	pack_text(&pk, spec->id);
-	pack_text(&pk, spec->queue);
-	pack_text(&pk, spec->payload);
+	mp_pack_text(&pk, spec->id);
+	mp_pack_text(&pk, spec->queue);
+	mp_pack_text(&pk, spec->payload);
 	msgpack_pack_uint64(&pk, spec->accepted_unix_ms);
 	msgpack_pack_uint32(&pk, spec->repeat_count);
 	msgpack_pack_uint64(&pk, spec->first_unix_ms);
@@ -84,24 +71,6 @@
 		pack_step(&pk, &spec->steps[i]);
 }
 
-static bool get_u64(const msgpack_object *o, uint64_t *out)
-{
-	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-		return false;
-	*out = o->via.u64;
-	return true;
-}
-
-static bool get_u32(const msgpack_object *o, uint32_t *out)
-{
-	uint64_t v;
-
-	if (!get_u64(o, &v) || v > UINT32_MAX)
-		return false;
-	*out = (uint32_t)v;
-	return true;
-}
-
 static bool get_text(const msgpack_object *o, char *out, size_t size)
 {
 	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
@@ -121,14 +90,16 @@
 	const msgpack_object *f = o->via.array.ptr;
 	uint32_t flags;
 
-	if (!is_array(o, STEP_FIELDS) || !get_u32(&f[0], &s->count) ||
+	if (!is_array(o, STEP_FIELDS) || !mp_get_u32(&f[0], &s->count) ||
 	    !s->count || s->count > CELL_TASKS_MAX ||
-	    !get_u32(&f[1], &s->need.cpu_milli) ||
-	    !get_u32(&f[2], &s->need.mem_mb) || !get_u32(&f[3], &s->need.gpu) ||
-	    !get_u32(&f[4], &s->estimate_ms) || !get_u32(&f[5], &s->after) ||
-	    !get_u32(&f[6], &s->anti_affinity) ||
-	    !get_u32(&f[7], &s->target_ms) || !get_u32(&f[8], &s->may_miss) ||
-	    !get_u32(&f[9], &flags) ||
+	    !mp_get_u32(&f[1], &s->need.cpu_milli) ||
+	    !mp_get_u32(&f[2], &s->need.mem_mb) ||
+	    !mp_get_u32(&f[3], &s->need.gpu) ||
+	    !mp_get_u32(&f[4], &s->estimate_ms) ||
+	    !mp_get_u32(&f[5], &s->after) ||
+	    !mp_get_u32(&f[6], &s->anti_affinity) ||
+	    !mp_get_u32(&f[7], &s->target_ms) ||
+	    !mp_get_u32(&f[8], &s->may_miss) || !mp_get_u32(&f[9], &flags) ||
 	    !get_text(&f[10], s->requires, sizeof(s->requires)) ||
 	    !get_text(&f[11], s->affinity, sizeof(s->affinity)) ||
 	    !get_text(&f[12], s->image, sizeof(s->image)))
@@ -148,15 +119,15 @@
 	const msgpack_object *steps;
 	uint32_t version;
 
-	if (!is_array(o, JOB_FIELDS) || !get_u32(&f[0], &version) ||
+	if (!is_array(o, JOB_FIELDS) || !mp_get_u32(&f[0], &version) ||
 	    version != RECORD_VERSION ||
 	    !get_text(&f[1], spec->id, sizeof(spec->id)) ||
 	    !get_text(&f[2], spec->queue, sizeof(spec->queue)) ||
 	    f[3].type != MSGPACK_OBJECT_STR ||
-	    !get_u64(&f[4], &spec->accepted_unix_ms) ||
-	    !get_u32(&f[5], &spec->repeat_count) ||
-	    !get_u64(&f[6], &spec->first_unix_ms) ||
-	    !get_u64(&f[7], &spec->interval_ms))
+	    !mp_get_u64(&f[4], &spec->accepted_unix_ms) ||
+	    !mp_get_u32(&f[5], &spec->repeat_count) ||
+	    !mp_get_u64(&f[6], &spec->first_unix_ms) ||
+	    !mp_get_u64(&f[7], &spec->interval_ms))
 		return false;
 	steps = &f[8];
 	if (steps->type != MSGPACK_OBJECT_ARRAY || !steps->via.array.size ||
@@ -194,25 +165,25 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_buf);
+	mp_open(&pk, out);
 	msgpack_pack_array(&pk, 5);
 	msgpack_pack_uint32(&pk, record->kind);
 	switch (record->kind) {
 	case CELL_RECORD_END:
-		pack_text(&pk, record->task);
+		mp_pack_text(&pk, record->task);
 		break;
 	case CELL_RECORD_CANCEL:
 	case CELL_RECORD_STATE:
-		pack_text(&pk, record->job);
+		mp_pack_text(&pk, record->job);
 		break;
 	default:
-		pack_text(&pk, record->minion);
+		mp_pack_text(&pk, record->minion);
 		break;
 	}
 	msgpack_pack_uint64(&pk, record->run);
 	msgpack_pack_uint32(&pk, record->end);
-	pack_text(&pk, record->kind == CELL_RECORD_END ? record->saved
-						       : record->addr);
+	mp_pack_text(&pk, record->kind == CELL_RECORD_END ? record->saved
+							  : record->addr);
 }
 
 /* Appends a batch of records that were encoded one after the other. */
@@ -221,7 +192,7 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_buf);
+	mp_open(&pk, out);
 	msgpack_pack_array(&pk, count);
 	buf_append(out, records->data, records->len);
 }
@@ -235,10 +206,10 @@
 	uint32_t kind;
 	uint32_t end;
 
-	if (!is_array(o, 5) || !get_u32(&f[0], &kind) ||
+	if (!is_array(o, 5) || !mp_get_u32(&f[0], &kind) ||
 	    kind >= CELL_RECORD_KINDS ||
 	    !get_text(&f[1], subject, sizeof(subject)) ||
-	    !get_u64(&f[2], &record.run) || !get_u32(&f[3], &end) ||
+	    !mp_get_u64(&f[2], &record.run) || !mp_get_u32(&f[3], &end) ||
 	    end >= CELL_ENDS || !get_text(&f[4], detail, sizeof(detail)))
 		return false;
 	record.kind = (enum cell_record_kind)kind;
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -32,7 +32,7 @@
 
 struct terms {
 	struct celld *d;
-	uint64_t as_of;
+	uint64_t read_revision;
 	bool read;	  /* the keys have been read at least once */
 	uint64_t seen;	  /* revision of the holder's key, 0: none */
 	uint64_t seen_ms; /* when it was first seen */
@@ -224,9 +224,10 @@
 		return;
 	}
 	take_items(t, reply);
-	if (reply->as_of > t->as_of)
-		t->as_of = reply->as_of;
-	pf_watch(t->d->store, CD_TERM_PREFIX, t->as_of, WATCH_MS, on_watch, t);
+	if (reply->read_revision > t->read_revision)
+		t->read_revision = reply->read_revision;
+	pf_watch(t->d->store, CD_TERM_PREFIX, t->read_revision, WATCH_MS,
+		 on_watch, t);
 }
 
 static void on_read(void *ctx, const struct pf_reply *reply)
@@ -241,8 +242,9 @@
 	t->live = false;
 	take_items(t, reply);
 	t->read = true;
-	t->as_of = reply->as_of;
-	pf_watch(t->d->store, CD_TERM_PREFIX, t->as_of, WATCH_MS, on_watch, t);
+	t->read_revision = reply->read_revision;
+	pf_watch(t->d->store, CD_TERM_PREFIX, t->read_revision, WATCH_MS,
+		 on_watch, t);
 }
 
 static void read_terms(struct terms *t)
