Serve the state of the cell as metrics, and remove what nothing uses

Gauges tell whether a daemon holds the cell, and what the holder knows of jobs, runs and minions; calls to the store and dropped lines are served too. The setting stop_timeout_ms, two functions and some parameters had no use.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -936,7 +936,6 @@
 	struct cell_settings settings = { .token = ++s->token,
 					  .lease_ms = LEASE_MS,
 					  .hold_wait_ms = 1500,
-					  .stop_timeout_ms = 400,
 					  .predecessor_ms = PREDECESSOR_MS,
 					  .status_ms = 120000 };
 	struct sim_job *job;
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -37,7 +37,6 @@
 	double cpu_share;	    /* of a core */
 	uint32_t lease_ms;	    /* granted to running tasks */
 	uint32_t hold_max_ms;	    /* the longest lease of a minion */
-	uint32_t stop_timeout_ms;   /* of a run */
 	uint32_t status_s;	    /* ended jobs stay known */
 	uint32_t grace_s;	    /* from SIGTERM to SIGKILL */
 	uint32_t snapshot_batches;  /* of the journal, between snapshots */
@@ -151,7 +150,6 @@
 bool terms_valid(const struct terms *terms, uint64_t now_ms);
 uint64_t terms_token(const struct terms *terms);
 uint64_t terms_seen(const struct terms *terms);
-const char *terms_holder_addr(const struct terms *terms);
 
 /* tidy.c: removal of what no successor needs. */
 struct tidy;
@@ -175,6 +173,7 @@
 void holder_config(struct holder *h);
 void holder_tick(struct holder *h, uint64_t now_ms);
 void holder_link_lost(struct holder *h);
+void holder_gauges(const struct holder *h);
 
 /* entry.c: what callers, the balancer and operators ask for. */
 struct entry;
--- a/jaycelld/conf.c
+++ b/jaycelld/conf.c
@@ -43,7 +43,6 @@
 	SETTING(cpu_share, SHARE),
 	SETTING(lease_ms, COUNTED),
 	SETTING(hold_max_ms, COUNTED),
-	SETTING(stop_timeout_ms, COUNTED),
 	SETTING(status_s, COUNTED),
 	SETTING(grace_s, COUNTED),
 	SETTING(snapshot_batches, COUNTED),
--- a/jaycelld/entry.c
+++ b/jaycelld/entry.c
@@ -34,6 +34,9 @@
 	ctr_id refused;
 	ctr_id submit_us;
 	ctr_id state_us;
+	ctr_id store_calls;
+	ctr_id log_dropped;
+	ctr_id holds;
 };
 
 /* A request of a caller that waits for its answer. */
@@ -285,10 +288,22 @@
 		    JSON_TYPE, NULL, "{}", 2);
 }
 
+static void set_gauges(const struct entry *e)
+{
+	ctr_set(e->store_calls, pf_store_calls(e->d->store));
+	ctr_set(e->log_dropped, ev_dropped());
+	ctr_set(e->holds, e->d->holder != NULL);
+	if (e->d->holder)
+		holder_gauges(e->d->holder);
+}
+
 static void on_operator(void *ctx, const struct httpd_request *request)
 {
 	struct entry *e = ctx;
-	struct buf text = ctr_prometheus();
+	struct buf text;
+
+	set_gauges(e);
+	text = ctr_prometheus();
 
 	if (!strcmp(request->path, "/metrics"))
 		httpd_reply(e->operators, request->handle, 200, "text/plain",
@@ -344,6 +359,11 @@
 				     "Time to store a job.");
 	e->state_us = ctr_histogram("jaycelld_state_seconds",
 				    "Time to answer for a job's state.");
+	e->store_calls = ctr_gauge("jaycelld_store_calls",
+				   "Calls to the store since the start.");
+	e->log_dropped = ctr_gauge("jaycelld_log_dropped",
+				   "Event lines that were dropped.");
+	e->holds = ctr_gauge("jaycelld_holder", "1 if this is the holder.");
 	e->callers = open_port(e, d->conf.listen_callers, on_caller, err);
 	if (!e->callers)
 		goto out;
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -849,6 +849,29 @@
 		h->jobs_poll_ms = soon;
 }
 
+/* Sets the gauges of the cell, as this holder knows it. */
+void holder_gauges(const struct holder *h)
+{
+	struct cell_stats stats;
+
+	cell_get_stats(h->cell, &stats);
+	ctr_set(ctr_gauge("jaycelld_live_jobs", "Jobs that have not ended."),
+		stats.live_jobs);
+	ctr_set(ctr_gauge("jaycelld_ready_steps",
+			  "Steps that wait for room or advice."),
+		stats.ready_steps);
+	ctr_set(ctr_gauge("jaycelld_runs", "Runs on all minions."),
+		stats.running);
+	ctr_set(ctr_gauge("jaycelld_minions", "Minions that are listed."),
+		stats.minions);
+	ctr_set(ctr_gauge("jaycelld_unsettled_minions",
+			  "Minions of earlier terms that are not heard yet."),
+		stats.unsettled);
+	ctr_set(ctr_gauge("jaycelld_used_cpu_milli",
+			  "Thousandths of cores that runs hold."),
+		stats.used_cpu_milli);
+}
+
 /* Does what is due; called after each turn of the loop. */
 void holder_tick(struct holder *h, uint64_t now_ms)
 {
@@ -882,7 +905,6 @@
 		.token = token,
 		.lease_ms = d->conf.lease_ms,
 		.hold_wait_ms = LOOK_WAIT_MS,
-		.stop_timeout_ms = d->conf.stop_timeout_ms,
 		/* Clocks of minions may be slow by 2%. */
 		.predecessor_ms = PREDECESSOR_MS + d->conf.lease_ms * 100 / 98,
 		.status_ms = d->conf.status_s * 1000,
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -71,11 +71,6 @@
 	return t->seen;
 }
 
-const char *terms_holder_addr(const struct terms *t)
-{
-	return t->addr;
-}
-
 /* Gives the term up; runs go on, and the successor adopts them. */
 void terms_step_down(struct terms *t, const char *why)
 {
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -121,12 +121,11 @@
 };
 
 struct cell_settings {
-	uint64_t token;		  /* fencing token of this term */
-	uint32_t lease_ms;	  /* granted to running tasks */
-	uint32_t hold_wait_ms;	  /* of a look that waits for an end */
-	uint32_t stop_timeout_ms; /* a stop takes at most this long */
-	uint32_t predecessor_ms;  /* how long an earlier holder's runs last */
-	uint32_t status_ms;	  /* how long ended jobs stay known */
+	uint64_t token;		 /* fencing token of this term */
+	uint32_t lease_ms;	 /* granted to running tasks */
+	uint32_t hold_wait_ms;	 /* of a look that waits for an end */
+	uint32_t predecessor_ms; /* how long an earlier holder's runs last */
+	uint32_t status_ms;	 /* how long ended jobs stay known */
 };
 
 /* A minion as it was listed by the platform. */
@@ -229,7 +228,6 @@
 uint64_t cell_cancel(struct cell *cell, const char *id, uint64_t now_ms);
 enum cell_job_state cell_state(const struct cell *cell, const char *id);
 const char *cell_state_name(enum cell_job_state state);
-const char *cell_queue_of(const struct cell *cell, const char *id);
 uint32_t cell_pending(const struct cell *cell, const char *queue);
 bool cell_end_parse(const char *text, enum cell_end *end);
 const char *cell_end_name(enum cell_end end);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -232,7 +232,7 @@
 void cell_gang_abort(struct cell *cell, struct cell_step *step, uint64_t run,
 		     uint64_t now_ms);
 void cell_event(struct cell *cell, const struct cell_event *event);
-bool cell_grow(void **items, uint32_t *capacity, uint32_t count, size_t size);
+void cell_grow(void **items, uint32_t *capacity, uint32_t count, size_t size);
 
 /* record.c */
 uint64_t cell_record_add(struct cell *cell, const struct cell_record *record,
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -40,18 +40,17 @@
 }
 
 /* Makes room for one more item; the process ends when memory is exhausted. */
-bool cell_grow(void **items, uint32_t *capacity, uint32_t count, size_t size)
+void cell_grow(void **items, uint32_t *capacity, uint32_t count, size_t size)
 {
 	uint32_t n;
 
 	if (count < *capacity)
-		return true;
+		return;
 	n = *capacity ? *capacity * 2 : 16;
 	*items = realloc(*items, n * size);
 	if (!*items)
 		abort();
 	*capacity = n;
-	return true;
 }
 
 void cell_event(struct cell *cell, const struct cell_event *event)
@@ -707,14 +706,6 @@
 	return job ? job->state : CELL_JOB_UNKNOWN;
 }
 
-/* Returns the name of the queue of a job, or NULL. */
-const char *cell_queue_of(const struct cell *cell, const char *id)
-{
-	const struct cell_job *job = cell_job_find(cell, id);
-
-	return job ? job->spec.queue : NULL;
-}
-
 /* Returns how many accepted jobs of a queue have not started a task. */
 uint32_t cell_pending(const struct cell *cell, const char *queue)
 {
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -104,13 +104,12 @@
 	return x->minion->handle < y->minion->handle ? -1 : 1;
 }
 
-static void add_candidate(struct cell *cell, const struct cell_step *step,
-			  struct cell_minion *m, const struct cell_grant *grant,
-			  struct candidate *out, uint32_t *count)
+static void add_candidate(const struct cell_step *step, struct cell_minion *m,
+			  const struct cell_grant *grant, struct candidate *out,
+			  uint32_t *count)
 {
 	struct candidate *c;
 
-	(void)cell;
 	m->trial_tasks = cell_fit(m, step);
 	if (!m->trial_tasks)
 		return;
@@ -139,14 +138,14 @@
 			    g->until_ms < now_ms + TICKET_MARGIN_MS ||
 			    !cell_minion_suits(cell, m, step, queue, now_ms))
 				continue;
-			add_candidate(cell, step, m, g, out, &n);
+			add_candidate(step, m, g, out, &n);
 		}
 	} else {
 		for (uint32_t i = 0; i < cell->minion_count; i++) {
 			struct cell_minion *m = cell->minions[i];
 
 			if (cell_minion_suits(cell, m, step, queue, now_ms))
-				add_candidate(cell, step, m, NULL, out, &n);
+				add_candidate(step, m, NULL, out, &n);
 		}
 	}
 	qsort(out, n, sizeof(*out), by_rank);
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -112,7 +112,6 @@
 		settings.token = token;
 		settings.lease_ms = 5500;
 		settings.hold_wait_ms = 1500;
-		settings.stop_timeout_ms = 400;
 		settings.predecessor_ms = 7300;
 		settings.status_ms = 120000;
 		cell = cell_new(&owner, &settings, now);
