Keep the acceptors of the accept test reachable for the leak check

The last stage of a whole check on failed here alone: acceptors live as long as the process, and the test dropped them. The test passes under the sanitizers.

--- a/tests/accept_test.cc
+++ b/tests/accept_test.cc
@@ -22,6 +22,8 @@
 std::vector<std::string> forwarded;
 uint64_t failing_ms;
 bool linked;
+/* What lives as long as the process, as in the daemon. */
+std::vector<void *> &kept = *new std::vector<void *>;
 
 } // namespace
 
@@ -62,8 +64,9 @@
 }
 
 void asks_send(struct asks *, enum cd_op, const char *text, const struct buf *,
-	       uint64_t, cd_answered, void *)
+	       uint64_t, cd_answered, void *ctx)
 {
+	kept.push_back(ctx);
 	forwarded.push_back(text);
 }
 
@@ -87,6 +90,8 @@
 		linked = false;
 		d.loop = loop_new();
 		acceptor = accept_new(&d);
+		kept.push_back(d.loop);
+		kept.push_back(acceptor);
 	}
 
 	void add(const char *id)
