Call a handed-on job not run only when no other copy may be stored

Cause: a submission that a daemon hands to the holder is asked again when the holder changes. The first holder may have stored it while its answer was lost; the second one refuses, and the caller was told that the job has not run.

Change: a question counts the copies whose fate is open. A refusal is passed on only if no other copy is open. A submission that was never sent to a ready holder is now refused at its deadline, where it was called unknown.

Ruled out: remembering ids at the holder, since the successor cannot know them.

--- a/jaycelld/asks.c
+++ b/jaycelld/asks.c
@@ -22,7 +22,8 @@
 	uint64_t since_ms;
 	uint64_t deadline_ms;
 	uint64_t send_ms; /* not before */
-	bool sent;
+	/* Sent to a holder that has not said that it did nothing. */
+	uint32_t unsettled;
 	cd_answered done;
 	void *ctx;
 };
@@ -54,7 +55,7 @@
 	struct cd_asker self = { .ref = q->ref };
 
 	q->send_ms = now + REPEAT_MS;
-	q->sent = true;
+	q->unsettled++;
 	if (d->holder && holder_ready(d->holder)) {
 		holder_query(d->holder, &self, q->op, q->text, &q->blob);
 		return;
@@ -62,13 +63,35 @@
 	if (!d->holder && links_up(d->links) &&
 	    links_send_query(d->links, q->ref, q->op, q->text, &q->blob))
 		return;
-	q->sent = false;
+	q->unsettled--;
 	q->send_ms = now + NOT_READY_MS;
 }
 
 /*
- * Asks the holder. @done is called once, with CD_RETRY or CD_UNKNOWN if there
- * was no answer before the deadline.
+ * Returns what the caller may be told: a holder that refuses says so of its own
+ * copy of the question only, and another copy may still be carried out.
+ */
+static enum cd_answer certain(const struct question *q, enum cd_answer answer)
+{
+	return answer == CD_REFUSED && q->unsettled > 1 ? CD_UNKNOWN : answer;
+}
+
+/* Returns the answer to a question whose deadline has passed. */
+static enum cd_answer too_late(const struct question *q)
+{
+	switch (q->op) {
+	case CD_OP_STATE:
+	case CD_OP_PENDING:
+		return CD_RETRY;
+	default:
+		return q->unsettled ? CD_UNKNOWN : CD_REFUSED;
+	}
+}
+
+/*
+ * Asks the holder. @done is called once. Without an answer before the deadline
+ * it is told CD_RETRY for a question that changes nothing, CD_REFUSED for a
+ * change that no holder can have begun, and CD_UNKNOWN otherwise.
  */
 void asks_send(struct asks *asks, enum cd_op op, const char *text,
 	       const struct buf *blob, uint64_t deadline_ms, cd_answered done,
@@ -112,11 +135,11 @@
 	if (q->ref != ref)
 		return;
 	if (answer == CD_RETRY) {
-		q->sent = false;
+		q->unsettled -= q->unsettled > 0;
 		q->send_ms = loop_now_ms() + NOT_READY_MS;
 		return;
 	}
-	finish(asks, q, answer, number);
+	finish(asks, q, certain(q, answer), number);
 }
 
 /* Asks the new holder what its predecessor did not answer. */
@@ -141,15 +164,11 @@
 		if (now_ms >= q->deadline_ms) {
 			ev("ask-timeout",
 			   "op=%u text=%s waited_ms=%llu "
-			   "sent=%d linked=%d",
+			   "unsettled=%u linked=%d",
 			   q->op, q->text,
-			   (unsigned long long)(now_ms - q->since_ms), q->sent,
-			   links_up(asks->d->links));
-			finish(asks, q,
-			       q->op == CD_OP_STATE || q->op == CD_OP_PENDING
-				       ? CD_RETRY
-				       : CD_UNKNOWN,
-			       0);
+			   (unsigned long long)(now_ms - q->since_ms),
+			   q->unsettled, links_up(asks->d->links));
+			finish(asks, q, too_late(q), 0);
 		} else if (now_ms >= q->send_ms) {
 			dispatch(asks, q, now_ms);
 		}
