Take over changed settings without a restart

Cause: settings were read at start only. The platform changes them with SIGHUP or without any signal, and an operator had to restart a daemon to change a time-out.

Times, limits and the address of the advice service take effect; names and addresses are listed as waiting for a restart.

Ruled out: inotify, which the platform does not offer.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -14,6 +14,7 @@
 #include "platform/store.h"
 
 #define CD_KEY_LEN 32
+#define CD_PATH_MAX 4096
 
 /* Keys of the daemons in the store. */
 #define CD_PREFIX "jay/"
@@ -31,6 +32,7 @@
 	char listen_callers[CELL_ADDR_MAX];
 	char listen_ready[CELL_ADDR_MAX];
 	char listen_peers[CELL_ADDR_MAX];
+	char peers_address[CELL_ADDR_MAX]; /* where other daemons reach it */
 	char listen_operators[CELL_ADDR_MAX];
 	char store[CELL_ADDR_MAX];
 	char advice[CELL_ADDR_MAX]; /* empty: no queue needs advice */
@@ -74,6 +76,13 @@
 bool conf_read(struct cd_conf *conf, const char *file, struct err *err);
 bool conf_parse_text(struct cd_conf *conf, const char *file, const char *text,
 		     size_t len, struct err *err);
+uint32_t conf_apply(struct cd_conf *conf, const struct cd_conf *next,
+		    struct buf *fixed);
+
+/* reload.c: settings that change while the daemon runs. */
+struct reload;
+struct reload *reload_new(struct celld *d, const char *file);
+void reload_now(struct reload *reload);
 
 /* record.c */
 void record_pack_job(const struct cell_job_spec *spec, struct buf *out);
--- a/jaycelld/conf.c
+++ b/jaycelld/conf.c
@@ -22,23 +22,30 @@
 	const char *key;
 	enum setting_type type;
 	size_t offset;
+	size_t size;
+	bool fixed; /* for the life of the process */
 };
 
-#define SETTING(member, kind)                               \
-	{                                                   \
-		.key = #member, .type = SETTING_##kind,     \
-		.offset = offsetof(struct cd_conf, member), \
+#define SETTING_OF(member, kind, is_fixed)                     \
+	{                                                      \
+		.key = #member, .type = SETTING_##kind,        \
+		.offset = offsetof(struct cd_conf, member),    \
+		.size = sizeof(((struct cd_conf *)0)->member), \
+		.fixed = (is_fixed),                           \
 	}
+#define SETTING(member, kind) SETTING_OF(member, kind, false)
+#define SETTING_FIXED(member, kind) SETTING_OF(member, kind, true)
 
 static const struct setting settings[] = {
-	SETTING(name, NAME),
-	SETTING(az, NAME),
-	SETTING(region, NAME),
-	SETTING(listen_callers, ADDR),
-	SETTING(listen_ready, ADDR),
-	SETTING(listen_peers, ADDR),
-	SETTING(listen_operators, ADDR),
-	SETTING(store, ADDR),
+	SETTING_FIXED(name, NAME),
+	SETTING_FIXED(az, NAME),
+	SETTING_FIXED(region, NAME),
+	SETTING_FIXED(listen_callers, ADDR),
+	SETTING_FIXED(listen_ready, ADDR),
+	SETTING_FIXED(listen_peers, ADDR),
+	SETTING_FIXED(peers_address, OPT_ADDR),
+	SETTING_FIXED(listen_operators, ADDR),
+	SETTING_FIXED(store, ADDR),
 	SETTING(advice, OPT_ADDR),
 	SETTING(cpu_share, SHARE),
 	SETTING(lease_ms, COUNTED),
@@ -157,12 +164,43 @@
 			conf->hold_max_ms);
 		goto out;
 	}
+	if (!conf->peers_address[0])
+		memcpy(conf->peers_address, conf->listen_peers,
+		       sizeof(conf->peers_address));
 	ok = true;
 out:
 	json_decref(body);
 	return ok;
 }
 
+/*
+ * Takes over the settings of @next that may change while the daemon runs, and
+ * returns how many did. The names of the others that differ go to @fixed.
+ */
+uint32_t conf_apply(struct cd_conf *conf, const struct cd_conf *next,
+		    struct buf *fixed)
+{
+	uint32_t changed = 0;
+
+	for (size_t i = 0; i < SETTING_COUNT; i++) {
+		const struct setting *s = &settings[i];
+		char *to = (char *)conf + s->offset;
+		const char *from = (const char *)next + s->offset;
+
+		if (!memcmp(to, from, s->size))
+			continue;
+		if (s->fixed) {
+			if (fixed->len)
+				buf_append(fixed, ",", 1);
+			buf_append(fixed, s->key, strlen(s->key));
+			continue;
+		}
+		memcpy(to, from, s->size);
+		changed++;
+	}
+	return changed;
+}
+
 /* Reads the settings of @file. */
 bool conf_read(struct cd_conf *conf, const char *file, struct err *err)
 {
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -708,7 +708,7 @@
 {
 	if (l->holder || now < l->dial_ms || !l->target[0] ||
 	    terms_token(l->d->terms) ||
-	    !strcmp(l->target, l->d->conf.listen_peers))
+	    !strcmp(l->target, l->d->conf.peers_address))
 		return;
 	l->dial_ms = now + REDIAL_MS;
 	l->holder = link_dial(&l->env, l->target);
@@ -721,7 +721,7 @@
 
 	if (h && terms_token(l->d->terms)) {
 		snprintf(l->target, sizeof(l->target), "%s",
-			 l->d->conf.listen_peers);
+			 l->d->conf.peers_address);
 		leave_holder(l);
 	}
 	h = l->holder;
@@ -794,7 +794,7 @@
 	snprintf(l->env.self.region, sizeof(l->env.self.region), "%s",
 		 d->conf.region);
 	snprintf(l->env.self.addr, sizeof(l->env.self.addr), "%s",
-		 d->conf.listen_peers);
+		 d->conf.peers_address);
 	link_env_open(&l->env);
 	l->tick = (struct timer){ .fn = on_tick, .ctx = l };
 	timer_start(d->loop, &l->tick, TICK_MS);
--- a/jaycelld/main.c
+++ b/jaycelld/main.c
@@ -1,5 +1,4 @@
 /* jaycelld: daemon of a cell on a platform with a shared store. */
-#include <limits.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -21,7 +20,7 @@
 #define EXIT_MARGIN_MS 700
 
 struct options {
-	char file[PATH_MAX];
+	char file[CD_PATH_MAX];
 	bool check_only;
 };
 
@@ -30,6 +29,7 @@
 	unsigned char secret[CD_KEY_LEN];
 	struct timer poll;
 	struct timer secret_retry;
+	struct reload *reload;
 	uint64_t drain_ms; /* when SIGTERM came */
 	bool closed;
 	int status;
@@ -177,8 +177,7 @@
 		begin_drain(s, now);
 	if (reload_requested) {
 		reload_requested = 0;
-		/* Addresses and limits are fixed for the life of a process. */
-		ev("reload", "detail=\"settings are read at start\"");
+		reload_now(s->reload);
 	}
 	if (s->drain_ms && drained(s, now)) {
 		ev("stop", "waited_ms=%llu open=%u",
@@ -190,7 +189,7 @@
 	timer_start(s->d.loop, &s->poll, POLL_MS);
 }
 
-static int run(const struct cd_conf *conf)
+static int run(const struct cd_conf *conf, const char *file)
 {
 	static struct daemon_state s;
 	struct celld *d = &s.d;
@@ -209,6 +208,7 @@
 	s.secret_retry = (struct timer){ .fn = on_secret_retry, .ctx = &s };
 	ev("start", "az=%s region=%s callers=%s peers=%s store=%s", conf->az,
 	   conf->region, conf->listen_callers, conf->listen_peers, conf->store);
+	s.reload = reload_new(d, file);
 	timer_start(d->loop, &s.poll, POLL_MS);
 	read_secret(&s);
 	loop_run(d->loop);
@@ -266,5 +266,5 @@
 	}
 	if (options.check_only)
 		return EXIT_SUCCESS;
-	return run(&conf);
+	return run(&conf, options.file);
 }
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -275,7 +275,7 @@
 		t->released = false;
 		snprintf(t->holder, sizeof(t->holder), "%s", t->d->conf.name);
 		snprintf(t->addr, sizeof(t->addr), "%s",
-			 t->d->conf.listen_peers);
+			 t->d->conf.peers_address);
 		begin_term(t, reply->revision, t->claim_sent_ms);
 		break;
 	case PF_UNKNOWN:
@@ -302,7 +302,7 @@
 		return;
 	for (size_t i = 0; i < sizeof(random); i++)
 		snprintf(t->own_nonce + i * 2, 3, "%02x", random[i]);
-	value = buf_fmt("%s %s %s", t->d->conf.name, t->d->conf.listen_peers,
+	value = buf_fmt("%s %s %s", t->d->conf.name, t->d->conf.peers_address,
 			t->own_nonce);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = t->seen };
@@ -340,7 +340,7 @@
 			    config_current(t->d->config),
 		.draining = t->d->draining,
 		.none = !t->seen,
-		.own = t->seen && !strcmp(t->addr, t->d->conf.listen_peers),
+		.own = t->seen && !strcmp(t->addr, t->d->conf.peers_address),
 		.released = t->released,
 		.live_missing = !t->live,
 		.linked = links_up(links),
--- a/tests/cellconf_test.cc
+++ b/tests/cellconf_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <string>
 
 extern "C" {
@@ -53,3 +54,39 @@
 	EXPECT_EQ(parse("{"),
 		  "FILE:1:1: string or '}' expected near end of file");
 }
+
+/* Guards against a change of the settings that needs a restart. */
+TEST(CellConf, TakesOverWhatMayChangeAndNamesTheRest)
+{
+	struct cd_conf conf;
+	struct cd_conf next;
+	struct err err = {};
+	struct buf fixed = {};
+	std::string text = good;
+
+	ASSERT_TRUE(conf_parse_text(&conf, "FILE", good, strlen(good), &err));
+	text.replace(text.find("5500"), 4, "5000");
+	text.replace(text.find("127.0.0.1:1002"), 14, "127.0.0.1:2002");
+	ASSERT_TRUE(conf_parse_text(&next, "FILE", text.c_str(), text.size(),
+				    &err));
+	EXPECT_EQ(conf_apply(&conf, &next, &fixed), 1U);
+	EXPECT_EQ(conf.lease_ms, 5000U);
+	EXPECT_STREQ(conf.listen_peers, "127.0.0.1:1002");
+	EXPECT_STREQ(fixed.data, "listen_peers,peers_address");
+	buf_free(&fixed);
+}
+
+/* Guards against daemons that publish an address which nobody reaches. */
+TEST(CellConf, PeersAddressIsTheListenerUnlessItIsSet)
+{
+	struct cd_conf conf;
+	struct err err = {};
+	std::string text = good;
+
+	ASSERT_TRUE(conf_parse_text(&conf, "FILE", good, strlen(good), &err));
+	EXPECT_STREQ(conf.peers_address, "127.0.0.1:1002");
+	text.insert(1, "\"peers_address\": \"127.0.0.1:7\",");
+	ASSERT_TRUE(conf_parse_text(&conf, "FILE", text.c_str(), text.size(),
+				    &err));
+	EXPECT_STREQ(conf.peers_address, "127.0.0.1:7");
+}
