Let the stand-in of the platform check more promises and misbehave more

Cause: the stand-in saw only tasks that run twice. Its minions never crashed, left, failed or hung, its store never forgot its history, and gangs were single tasks.

--- a/fakes/fakeplatform.c
+++ b/fakes/fakeplatform.c
@@ -3,6 +3,7 @@
  * second the advice service, and each further one a minion.
  */
 #include <stdio.h>
+#include <string.h>
 
 #include "err.h"
 #include "platform.h"
@@ -21,11 +22,31 @@
 	struct platform_minions *minions;
 };
 
+/* POST /platform on the store's port: faults of the platform's own. */
+static void handle_fault(struct platform *p, const struct fake_request *request)
+{
+	json_t *change =
+		json_loadb(request->http.body, request->http.body_len, 0, NULL);
+	bool known = platform_kv_fault(p->kv, change) ||
+		     platform_minions_fault(p->minions, change);
+
+	json_decref(change);
+	if (known)
+		fake_answer_json(p->fake, request->id, 200, NULL,
+				 json_object());
+	else
+		fake_answer_error(p->fake, request->id, 400, "unknown fault");
+}
+
 static void handle(void *ctx, const struct fake_request *request)
 {
 	struct platform *p = ctx;
 
-	if (request->port == STORE_PORT || request->port == SECOND_STORE_PORT)
+	if (request->port == STORE_PORT &&
+	    !strcmp(request->http.path, "/platform"))
+		handle_fault(p, request);
+	else if (request->port == STORE_PORT ||
+		 request->port == SECOND_STORE_PORT)
 		platform_kv_handle(p->kv, request);
 	else if (request->port == ADVICE_PORT)
 		platform_advise(p->minions, request);
@@ -44,7 +65,11 @@
 int main(int argc, char **argv)
 {
 	struct fake_listen_args args = fake_listen_args();
-	void *table[] = { args.listen, args.base_port, args.count, arg_end(8) };
+	struct arg_int *public_base = arg_int0(
+		NULL, "public-base", "PORT",
+		"minions register with ports from here on, of a proxy");
+	void *table[] = { args.listen, args.base_port, args.count, public_base,
+			  arg_end(8) };
 	struct platform p = { .loop = loop_new() };
 	struct fake_settings settings = {
 		.program = "fakeplatform",
@@ -69,6 +94,8 @@
 		return 1;
 	}
 	platform_kv_open(p.kv, p.fake);
-	platform_minions_open(p.minions, p.fake, FIRST_MINION_PORT);
+	platform_minions_open(
+		p.minions, p.fake, FIRST_MINION_PORT,
+		public_base->count ? (uint32_t)public_base->ival[0] : 0);
 	return fake_run(p.fake);
 }
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -14,13 +14,16 @@
 			const struct fake_request *request);
 void platform_kv_put(struct platform_kv *kv, const char *key, json_t *value);
 void platform_kv_remove(struct platform_kv *kv, const char *key);
+bool platform_kv_fault(struct platform_kv *kv, const json_t *change);
 json_t *platform_kv_observe(const struct platform_kv *kv);
 
 /* platform_minion.c: minions, each on a port, and the advice service. */
 struct platform_minions *platform_minions_new(struct loop *loop,
 					      struct platform_kv *kv);
 void platform_minions_open(struct platform_minions *minions, struct fake *fake,
-			   uint32_t first_port);
+			   uint32_t first_port, uint32_t public_base);
+bool platform_minions_fault(struct platform_minions *minions,
+			    const json_t *change);
 void platform_minions_handle(struct platform_minions *minions,
 			     const struct fake_request *request);
 void platform_advise(struct platform_minions *minions,
--- a/fakes/platform_kv.c
+++ b/fakes/platform_kv.c
@@ -64,6 +64,15 @@
 	uint64_t calls;
 	uint64_t commits;
 	uint64_t conflicts;
+	uint32_t late_writes; /* so many more have no answer and come late */
+	uint32_t late_ms;
+};
+
+/* A transaction that is carried out later, if its conditions still hold. */
+struct late_write {
+	struct platform_kv *kv;
+	json_t *body;
+	struct timer timer;
 };
 
 static json_t *item_json(const struct item *item)
@@ -386,6 +395,32 @@
 		item_remove(kv, json_string_value(json_array_get(removes, i)));
 }
 
+static void on_late_write(struct timer *timer)
+{
+	struct late_write *late = timer->ctx;
+	struct platform_kv *kv = late->kv;
+	json_t *found = json_array();
+
+	if (conditions_hold(kv, json_object_get(late->body, "expect"), found)) {
+		commit(kv, json_object_get(late->body, "puts"),
+		       json_object_get(late->body, "remove"));
+		wake_watches(kv);
+	}
+	json_decref(found);
+	json_decref(late->body);
+	free(late);
+}
+
+/* Takes the reference of @body. */
+static void write_late(struct platform_kv *kv, json_t *body)
+{
+	struct late_write *late = xcalloc(1, sizeof(*late));
+
+	*late = (struct late_write){ .kv = kv, .body = body };
+	late->timer = (struct timer){ .fn = on_late_write, .ctx = late };
+	timer_start(kv->loop, &late->timer, kv->late_ms);
+}
+
 static void handle_txn(struct platform_kv *kv,
 		       const struct fake_request *request)
 {
@@ -394,6 +429,12 @@
 	const json_t *puts = json_object_get(body, "puts");
 	json_t *found = json_array();
 
+	if (kv->late_writes) {
+		kv->late_writes--;
+		write_late(kv, json_incref(body));
+		goto out;
+	}
+
 	for (size_t i = 0; i < json_array_size(puts); i++) {
 		const json_t *lease =
 			json_object_get(json_array_get(puts, i), "lease");
@@ -507,6 +548,37 @@
 		json_pack("{s:I}", "revision", (json_int_t)kv->revision));
 }
 
+/* Forgets all history, and cuts the watches that wait. */
+static void compact(struct platform_kv *kv)
+{
+	for (uint32_t i = 0; i < kv->history_count; i++)
+		free(kv->history[i].value);
+	kv->history_count = 0;
+	kv->compacted = kv->revision;
+	while (kv->watches)
+		watch_end(kv->watches, json_array());
+}
+
+/*
+ * Changes the faults of the store: {"compact": true} or {"late_writes": N,
+ * "late_ms": M}. Returns false if @change names none of them.
+ */
+bool platform_kv_fault(struct platform_kv *kv, const json_t *change)
+{
+	const json_t *late = json_object_get(change, "late_writes");
+
+	if (json_is_true(json_object_get(change, "compact"))) {
+		compact(kv);
+		return true;
+	}
+	if (!json_is_integer(late))
+		return false;
+	kv->late_writes = (uint32_t)json_integer_value(late);
+	kv->late_ms = (uint32_t)json_integer_value(
+		json_object_get(change, "late_ms"));
+	return true;
+}
+
 /* Serves one call to the store. */
 void platform_kv_handle(struct platform_kv *kv,
 			const struct fake_request *request)
