Add a randomized fault soak of real processes

Cause: the faults of the process tests are fixed and come one at a time, and the simulated cell plays the scheduler without daemons, sockets and the store.

Change: tests/soak starts daemons and the stand-in of the platform, draws faults from a seed and checks while it runs what callers were promised and what minions saw. Faults come from outside: proxies on loopback delay, hold one way, reset, refuse and silence links; signals kill, stop and pause daemons; a preloaded clock is wrong; the platform carries writes and orders out late, forgets its history, and has minions that crash, drain, fail and hang.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, demo, check, bench, model, fuzz, install, clean.
+# Targets: all, demo, check, bench, model, soak, fuzz, install, clean.
 
 CC = gcc
 CXX = g++
@@ -24,9 +24,10 @@
 FAKES = fakestore fakelist fakeworker fakeminion fakeplatform loadgen
 FAKE_SRC = $(wildcard fakes/*.c)
 BENCH_SRC = $(wildcard bench/*.c)
+SOAK_SRC = $(wildcard tests/soak/*.c)
 C_SRC = $(LIB_SRC) $(COMMON_SRC) $(DAEMON_SRC) $(CELLD_SRC) $(TOOL_SRC) \
-	$(FAKE_SRC) $(BENCH_SRC)
-HEADERS = $(wildcard */*.h) $(wildcard lib/cell/*.h)
+	$(FAKE_SRC) $(BENCH_SRC) $(SOAK_SRC)
+HEADERS = $(wildcard */*.h) $(wildcard lib/cell/*.h tests/soak/*.h)
 TEST_SRC = $(wildcard tests/*_test.cc)
 FUZZ_SRC = $(wildcard fuzz/*_fuzz.c)
 FORMATTED = $(C_SRC) $(HEADERS) $(wildcard tests/*.cc tests/*.c fuzz/*.c)
@@ -46,7 +47,7 @@
 BENCHES = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*_bench.c))
 
 .PHONY: all demo check bench model fuzz install clean format lint unit process \
-	sanitize fuzz-short
+	sanitize fuzz-short soak soak-short
 
 all: $(PROGRAMS)
 
@@ -103,6 +104,14 @@
 	@mkdir -p $(@D)
 	$(CC) -Ilib $(CFLAGS) $(LDFLAGS) -o $@ $< $(LIB) -lxxhash -lm
 
+$(B)/soak: $(call OBJ,$(filter-out tests/soak/skew.c,$(SOAK_SRC))) $(COMMON) \
+		$(LIB) $(B)/soak-skew.so $(B)/jaycelld $(B)/fakeplatform
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
+
+# Preloaded into the daemons of the soak.
+$(B)/soak-skew.so: tests/soak/skew.c
+	$(CC) $(CPPFLAGS) $(CFLAGS) -fPIC -shared -o $@ $<
+
 $(B)/bench/%: $(O)/bench/%.o $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -117,9 +126,10 @@
 # events that another waits for; only the compilers and linters run in parallel.
 JOBS ?= $(shell nproc)
 check:
-	@$(MAKE) --no-print-directory -j$(JOBS) format lint all $(TESTS) $(FUZZERS)
+	@$(MAKE) --no-print-directory -j$(JOBS) format lint all $(TESTS) $(FUZZERS) $(B)/soak
 	@$(MAKE) --no-print-directory unit
 	@$(MAKE) --no-print-directory process
+	@$(MAKE) --no-print-directory soak-short
 	@$(MAKE) --no-print-directory model
 	@$(MAKE) --no-print-directory fuzz-short
 	@$(MAKE) --no-print-directory -j$(JOBS) sanitize
@@ -149,6 +159,16 @@
 process: all
 	@scripts/run-process-tests $(B)
 
+# The cases of tests/soak/seeds; `make soak` draws SEEDS new ones.
+SEEDS ?= 12
+SOAK_S ?= 30
+soak-short: $(B)/soak
+	@BUILD=$(B) scripts/soak-cases
+
+soak: $(B)/soak
+	@BUILD=$(B) scripts/soak $(SOAK_S) $$(od -An -N$$(($(SEEDS) * 3)) -v -w3 \
+		-tu1 /dev/urandom | awk '{ print $$1 * 65536 + $$2 * 256 + $$3 }')
+
 model:
 	models/run $(B)
 
--- a/fakes/fakeplatform.c
+++ b/fakes/fakeplatform.c
@@ -45,6 +45,9 @@
 	if (request->port == STORE_PORT &&
 	    !strcmp(request->http.path, "/platform"))
 		handle_fault(p, request);
+	else if (request->port == STORE_PORT &&
+		 !strcmp(request->http.path, "/holder"))
+		platform_kv_holder(p->kv, request);
 	else if (request->port == STORE_PORT ||
 		 request->port == SECOND_STORE_PORT)
 		platform_kv_handle(p->kv, request);
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -14,6 +14,8 @@
 			const struct fake_request *request);
 void platform_kv_put(struct platform_kv *kv, const char *key, json_t *value);
 void platform_kv_remove(struct platform_kv *kv, const char *key);
+void platform_kv_holder(struct platform_kv *kv,
+			const struct fake_request *request);
 bool platform_kv_fault(struct platform_kv *kv, const json_t *change);
 json_t *platform_kv_observe(const struct platform_kv *kv);
 
--- a/fakes/platform_kv.c
+++ b/fakes/platform_kv.c
@@ -548,6 +548,22 @@
 		json_pack("{s:I}", "revision", (json_int_t)kv->revision));
 }
 
+/* Answers who holds the cell, for tests: {"holder": "NAME ADDRESS NONCE"}. */
+void platform_kv_holder(struct platform_kv *kv,
+			const struct fake_request *request)
+{
+	struct item *item;
+	char *text = NULL;
+	size_t len;
+
+	HASH_FIND_STR(kv->items, "jay/term/holder", item);
+	if (item)
+		text = pf_base64_decode(item->value, strlen(item->value), &len);
+	fake_answer_json(kv->fake, request->id, 200, NULL,
+			 json_pack("{s:s}", "holder", text ? text : ""));
+	free(text);
+}
+
 /* Forgets all history, and cuts the watches that wait. */
 static void compact(struct platform_kv *kv)
 {
--- /dev/null
+++ b/tests/soak/callers.c
@@ -0,0 +1,536 @@
+/*
+ * Callers of the soak. They submit jobs, ask for their state, cancel some, and
+ * compare what they are told with what was promised and with what the minions
+ * have seen. Their connections stay open as long as a daemon lives.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "cell/spec.h"
+#include "soak.h"
+
+#define JOBS_MAX 8192
+#define SUBMIT_MS 180 /* between two jobs */
+#define ASK_MS 600    /* between two questions about a job */
+#define ASK_ENDED_MS 4000
+#define PROBE_MS 150 /* between two probes of the configuration */
+#define DEADLINE_MS 3000
+#define TIMEOUT_MS 3400
+#define TRIES 5 /* the first and four more */
+#define RETRY_MS 300
+/* Time after which an accepted job has to be known, in ms (visible_ms). */
+#define VISIBLE_MS 3000
+/* Time after which a cancelled job starts nothing, in ms (cancel_ms). */
+#define CANCEL_MS 3000
+#define ATTEMPTS 2
+#define WIDTH_MAX 4
+#define STEPS_MAX 2
+#define CANCEL_SHARE 12 /* every so many jobs */
+#define FAIL_SHARE 25
+#define GANG_SHARE 4
+
+enum job_phase {
+	JOB_SUBMITTING,
+	JOB_ACCEPTED,
+	JOB_REFUSED, /* every try was refused */
+	JOB_UNSURE   /* some try had no certain answer */
+};
+
+struct job {
+	char id[CELL_ID_MAX];
+	enum job_phase phase;
+	bool quick; /* in the queue with advice */
+	bool gang;
+	bool fails;
+	uint32_t steps;
+	uint32_t width;
+	uint32_t cpu;
+	uint32_t run_ms;
+	uint32_t tries;
+	bool unsure; /* a try had no certain answer */
+	bool busy;   /* a call is in flight */
+	uint64_t next_ms;
+	uint64_t accepted_ms;
+	uint64_t cancel_at_ms; /* 0: it is not cancelled */
+	bool cancel_sent;
+	uint64_t cancelled_unix_ms; /* the cancel was acknowledged */
+	char state[16];		    /* as shown last */
+};
+
+struct callers {
+	struct soak *s;
+	struct job *jobs;
+	uint32_t count;
+	bool submitting;
+	uint64_t submit_ms;
+	uint64_t probe_ms;
+	uint32_t version; /* newest route that the operator has added */
+	/* By daemon: the newest route that it has served, in which life. */
+	uint32_t served[SOAK_DAEMONS_MAX];
+	uint32_t served_life[SOAK_DAEMONS_MAX];
+	uint32_t calls;
+	uint32_t unanswered;
+};
+
+enum call_kind { CALL_SUBMIT, CALL_STATE, CALL_CANCEL, CALL_PROBE };
+
+struct call {
+	struct callers *c;
+	enum call_kind kind;
+	uint32_t job;
+	uint32_t daemon;
+	uint32_t life;
+	uint32_t version;
+	uint64_t sent_ms;
+};
+
+static uint64_t unix_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static bool is_final(const struct job *job)
+{
+	return !strcmp(job->state, "completed") ||
+	       !strcmp(job->state, "failed") ||
+	       !strcmp(job->state, "cancelled");
+}
+
+static void on_submitted(struct callers *c, struct job *job,
+			 const struct httpc_response *r)
+{
+	bool answered = r->state == HTTPC_ANSWERED;
+
+	if (answered && r->status == 200) {
+		job->phase = JOB_ACCEPTED;
+		job->accepted_ms = loop_now_ms();
+		job->next_ms = job->accepted_ms + ASK_MS;
+		return;
+	}
+	if (answered && r->status != 429 && r->status < 500)
+		soak_violation(c->s, "job %s: submission answered %d: %s",
+			       job->id, r->status,
+			       r->body.data ? r->body.data : "");
+	/* Connections that were refused have not carried anything. */
+	if (r->state == HTTPC_NO_ANSWER ||
+	    (answered && r->status != 429 && r->status != 503))
+		job->unsure = true;
+	job->next_ms = loop_now_ms() + RETRY_MS;
+	if (job->tries == TRIES)
+		job->phase = job->unsure ? JOB_UNSURE : JOB_REFUSED;
+}
+
+static void check_change(struct callers *c, const struct job *job,
+			 const char *state, uint32_t daemon)
+{
+	if (is_final(job) && strcmp(job->state, state) != 0)
+		soak_violation(c->s, "job %s: shown as %s after %s, daemon %u",
+			       job->id, state, job->state, daemon);
+	if (!strcmp(state, "cancelled") && !job->cancel_sent)
+		soak_violation(c->s,
+			       "job %s: shown as cancelled, which "
+			       "nobody has asked for, daemon %u",
+			       job->id, daemon);
+}
+
+static void on_state(struct callers *c, struct job *job,
+		     const struct call *call, const struct httpc_response *r)
+{
+	json_t *body = NULL;
+	const char *state;
+
+	job->next_ms = loop_now_ms() + ASK_MS;
+	if (r->state != HTTPC_ANSWERED)
+		return;
+	if (r->status == 410 && call->sent_ms > job->accepted_ms + VISIBLE_MS)
+		soak_violation(
+			c->s,
+			"job %s: accepted %llu ms before, unknown "
+			"at daemon %u",
+			job->id,
+			(unsigned long long)(call->sent_ms - job->accepted_ms),
+			call->daemon);
+	else if (r->status == 404)
+		soak_violation(c->s, "job %s: no such queue at daemon %u",
+			       job->id, call->daemon);
+	if (r->status != 200)
+		return;
+	body = json_loadb(r->body.data, r->body.len, 0, NULL);
+	state = json_string_value(json_object_get(body, "state"));
+	if (!state) {
+		soak_violation(c->s, "job %s: its state cannot be read",
+			       job->id);
+	} else {
+		check_change(c, job, state, call->daemon);
+		snprintf(job->state, sizeof(job->state), "%s", state);
+	}
+	if (is_final(job))
+		job->next_ms = loop_now_ms() + ASK_ENDED_MS;
+	json_decref(body);
+}
+
+static void on_cancelled(struct job *job, const struct httpc_response *r)
+{
+	if (r->state == HTTPC_ANSWERED && r->status == 200)
+		job->cancelled_unix_ms = unix_ms();
+	job->next_ms = loop_now_ms() + RETRY_MS;
+}
+
+/* A daemon must not go back to an older configuration in one life. */
+static void on_probed(struct callers *c, const struct call *call,
+		      const struct httpc_response *r)
+{
+	uint32_t d = call->daemon;
+
+	if (r->state != HTTPC_ANSWERED ||
+	    procs_life(c->s->procs, d) != call->life)
+		return;
+	if (c->served_life[d] != call->life) {
+		c->served_life[d] = call->life;
+		c->served[d] = 0;
+	}
+	if (r->status == 200 && call->version > c->served[d])
+		c->served[d] = call->version;
+	else if (r->status == 404 && call->version <= c->served[d] &&
+		 call->sent_ms)
+		soak_violation(c->s,
+			       "daemon %u answers 404 for route %u after it "
+			       "has served route %u",
+			       d, call->version, c->served[d]);
+}
+
+static void on_called(void *ctx, uint32_t ref, struct httpc_response *r)
+{
+	struct call *call = ctx;
+	struct callers *c = call->c;
+	struct job *job = &c->jobs[call->job];
+
+	(void)ref;
+	c->unanswered += r->state != HTTPC_ANSWERED;
+	if (call->kind == CALL_PROBE) {
+		on_probed(c, call, r);
+		goto out;
+	}
+	job->busy = false;
+	if (call->kind == CALL_SUBMIT)
+		on_submitted(c, job, r);
+	else if (call->kind == CALL_STATE)
+		on_state(c, job, call, r);
+	else
+		on_cancelled(job, r);
+out:
+	free(call);
+}
+
+static void send_call(struct callers *c, const struct call *from,
+		      const char *method, const char *path, const char *body)
+{
+	struct call *call = xcalloc(1, sizeof(*call));
+	struct buf addr;
+	struct buf headers = buf_fmt("Host: " SOAK_HOST "\r\n"
+				     "Content-Type: application/json\r\n"
+				     "Jayspoke-Deadline-Ms: %u\r\n",
+				     DEADLINE_MS);
+
+	*call = *from;
+	call->c = c;
+	call->daemon = soak_random(c->s, c->s->options.daemons);
+	call->life = procs_life(c->s->procs, call->daemon);
+	call->sent_ms = loop_now_ms();
+	addr = buf_fmt("127.0.0.1:%u",
+		       soak_daemon_port(c->s, call->daemon, DAEMON_CALLERS));
+	c->calls++;
+	httpc_send(c->s->httpc,
+		   &(struct httpc_request){ .addr = addr.data,
+					    .method = method,
+					    .path = path,
+					    .headers = headers.data,
+					    .body = body,
+					    .body_len = body ? strlen(body) : 0,
+					    .timeout_ms = TIMEOUT_MS,
+					    .done = on_called,
+					    .ctx = call });
+	buf_free(&addr);
+	buf_free(&headers);
+}
+
+static void send_submission(struct callers *c, struct job *job,
+			    const char *path)
+{
+	struct call call = { .kind = CALL_SUBMIT,
+			     .job = (uint32_t)(job - c->jobs) };
+	json_t *steps = json_array();
+	json_t *payload =
+		json_pack("{s:i,s:b,s:i,s:i,s:i,s:i,s:b}", "run_ms",
+			  (int)job->run_ms, "fail", job->fails, "cpu",
+			  (int)job->cpu, "mem_mb", 500, "attempts", ATTEMPTS,
+			  "width", (int)job->width, "gang", job->gang);
+	char *spec = json_dumps(payload, JSON_COMPACT);
+	json_t *body;
+	char *text;
+
+	for (uint32_t i = 0; i < job->steps; i++) {
+		json_t *step = json_pack("{s:i,s:i,s:i,s:i,s:b}", "count",
+					 (int)job->width, "cpu", (int)job->cpu,
+					 "mem_mb", 500, "estimate_ms",
+					 (int)job->run_ms, "gang", job->gang);
+
+		if (i)
+			json_object_set_new(step, "after",
+					    json_pack("[i]", (int)i - 1));
+		json_array_append_new(steps, step);
+	}
+	body = json_pack("{s:s,s:o}", "spec", spec, "steps", steps);
+	text = json_dumps(body, JSON_COMPACT);
+	job->tries++;
+	send_call(c, &call, "POST", path, text);
+	free(text);
+	free(spec);
+	json_decref(payload);
+	json_decref(body);
+}
+
+static void work_on(struct callers *c, struct job *job, uint64_t now)
+{
+	struct call call = { .job = (uint32_t)(job - c->jobs) };
+	char path[64];
+
+	snprintf(path, sizeof(path), "/%s/%s", job->quick ? "quick" : "batch",
+		 job->id);
+	if (job->phase == JOB_SUBMITTING) {
+		job->busy = true;
+		send_submission(c, job, path);
+	} else if (job->phase == JOB_ACCEPTED && job->cancel_at_ms &&
+		   now >= job->cancel_at_ms && !job->cancelled_unix_ms) {
+		job->busy = true;
+		job->cancel_sent = true;
+		call.kind = CALL_CANCEL;
+		send_call(c, &call, "DELETE", path, NULL);
+	} else if (job->phase == JOB_ACCEPTED) {
+		job->busy = true;
+		call.kind = CALL_STATE;
+		send_call(c, &call, "GET", path, NULL);
+	}
+}
+
+static void add_job(struct callers *c, uint64_t now)
+{
+	struct soak *s = c->s;
+	struct job *job = &c->jobs[c->count];
+
+	*job = (struct job){
+		.quick = soak_random(s, 2),
+		.gang = !soak_random(s, GANG_SHARE),
+		.fails = !soak_random(s, FAIL_SHARE),
+		.steps = 1 + soak_random(s, STEPS_MAX),
+		.width = 1 + soak_random(s, WIDTH_MAX),
+		.cpu = 500 + soak_random(s, 2500),
+		.run_ms = 200 + soak_random(s, 1800),
+	};
+	if (!soak_random(s, CANCEL_SHARE))
+		job->cancel_at_ms = now + soak_random(s, 3000);
+	snprintf(job->id, sizeof(job->id), "%08x%08x",
+		 (uint32_t)s->options.seed, c->count);
+	c->count++;
+}
+
+static void probe(struct callers *c)
+{
+	struct call call = { .kind = CALL_PROBE };
+	char path[32];
+
+	if (!c->version)
+		return;
+	call.version = 1 + soak_random(c->s, c->version);
+	snprintf(path, sizeof(path), "/r%u/", call.version);
+	send_call(c, &call, "GET", path, NULL);
+}
+
+/* Submits, asks and cancels what is due. */
+void callers_tick(struct callers *c, uint64_t now_ms)
+{
+	if (c->submitting && now_ms >= c->submit_ms && c->count < JOBS_MAX) {
+		c->submit_ms = now_ms + SUBMIT_MS;
+		add_job(c, now_ms);
+	}
+	if (now_ms >= c->probe_ms) {
+		c->probe_ms = now_ms + PROBE_MS;
+		probe(c);
+	}
+	for (uint32_t i = 0; i < c->count; i++) {
+		struct job *job = &c->jobs[i];
+
+		if (!job->busy && now_ms >= job->next_ms)
+			work_on(c, job, now_ms);
+	}
+}
+
+/* Lets jobs be submitted, or not. */
+void callers_submit(struct callers *c, bool enabled)
+{
+	c->submitting = enabled;
+}
+
+/* The operator has written a configuration with routes up to @version. */
+void callers_config(struct callers *c, uint32_t version)
+{
+	c->version = version;
+}
+
+/* Returns true once each job is known to have ended or to have been refused. */
+bool callers_settled(const struct callers *c)
+{
+	for (uint32_t i = 0; i < c->count; i++) {
+		const struct job *job = &c->jobs[i];
+
+		if (job->phase == JOB_SUBMITTING ||
+		    (job->phase == JOB_ACCEPTED && !is_final(job)))
+			return false;
+	}
+	return true;
+}
+
+/* What the minions have seen of one job. */
+struct seen {
+	uint32_t starts;
+	uint32_t done;
+	uint32_t failed;
+	uint64_t ordered_unix_ms; /* the latest start */
+};
+
+static struct seen see(const json_t *tasks, const struct job *job)
+{
+	struct cell_task_name name = { 0 };
+	struct seen seen = { 0 };
+	char task[CELL_TASK_MAX];
+
+	snprintf(name.job, sizeof(name.job), "%s", job->id);
+	for (name.step = 0; name.step < job->steps; name.step++) {
+		for (name.index = 0; name.index < job->width; name.index++) {
+			const json_t *row;
+			uint64_t ordered;
+
+			cell_task_format(&name, task);
+			row = json_object_get(tasks, task);
+			seen.starts += (uint32_t)json_integer_value(
+				json_array_get(row, 0));
+			seen.done +=
+				json_integer_value(json_array_get(row, 1)) > 0;
+			seen.failed += (uint32_t)json_integer_value(
+				json_array_get(row, 2));
+			ordered = (uint64_t)json_integer_value(
+				json_array_get(row, 3));
+			if (ordered > seen.ordered_unix_ms)
+				seen.ordered_unix_ms = ordered;
+		}
+	}
+	return seen;
+}
+
+static void verify_job(struct callers *c, const struct job *job,
+		       const json_t *tasks)
+{
+	struct seen seen = see(tasks, job);
+	struct soak *s = c->s;
+
+	if (job->phase == JOB_REFUSED && seen.starts)
+		soak_violation(s, "job %s: refused each time, and started",
+			       job->id);
+	if (job->phase != JOB_ACCEPTED)
+		return;
+	if (!is_final(job))
+		soak_violation(s, "job %s: accepted, and %s at the end",
+			       job->id, job->state[0] ? job->state : "unknown");
+	if (!strcmp(job->state, "completed") &&
+	    seen.done < job->steps * job->width)
+		soak_violation(s, "job %s: completed with %u of %u tasks done",
+			       job->id, seen.done, job->steps * job->width);
+	if (!strcmp(job->state, "failed") && seen.failed < ATTEMPTS)
+		soak_violation(s, "job %s: failed after %u failures", job->id,
+			       seen.failed);
+	if (job->cancelled_unix_ms &&
+	    seen.ordered_unix_ms > job->cancelled_unix_ms + CANCEL_MS)
+		soak_violation(s, "job %s: started %llu ms after its cancel",
+			       job->id,
+			       (unsigned long long)(seen.ordered_unix_ms -
+						    job->cancelled_unix_ms));
+}
+
+static bool is_submitted(const struct callers *c, const char *task)
+{
+	unsigned int number;
+	unsigned int seed;
+
+	return sscanf(task, "%8x%8x.", &seed, &number) == 2 &&
+	       seed == (uint32_t)c->s->options.seed && number < c->count;
+}
+
+/*
+ * Compares what callers were told with @observed, the observations of the
+ * platform's stand-in, once all has ended.
+ */
+void callers_verify(struct callers *c, const char *observed, size_t len)
+{
+	json_t *body = json_loadb(observed, len, 0, NULL);
+	const json_t *minions = json_object_get(body, "minions");
+	json_t *tasks = json_object_get(minions, "tasks");
+	const json_t *faults = json_object_get(minions, "faults");
+	const json_t *running = json_object_get(minions, "running");
+	const char *task;
+	json_t *row;
+
+	if (!json_is_object(tasks)) {
+		soak_violation(c->s, "the platform does not answer");
+		return;
+	}
+	for (size_t i = 0; i < json_array_size(faults); i++)
+		soak_violation(c->s, "minions: %s",
+			       json_string_value(json_array_get(faults, i)));
+	if (json_integer_value(running))
+		soak_violation(c->s, "%d runs when all jobs have ended",
+			       (int)json_integer_value(running));
+	json_object_foreach(tasks, task, row)
+	{
+		if (!is_submitted(c, task))
+			soak_violation(c->s, "task %s of no job was started",
+				       task);
+	}
+	for (uint32_t i = 0; i < c->count; i++)
+		verify_job(c, &c->jobs[i], tasks);
+	json_decref(body);
+}
+
+/* Prints what callers have met. */
+void callers_report(const struct callers *c)
+{
+	uint32_t phases[4] = { 0 };
+	uint32_t completed = 0;
+	uint32_t cancelled = 0;
+
+	for (uint32_t i = 0; i < c->count; i++) {
+		phases[c->jobs[i].phase]++;
+		completed += !strcmp(c->jobs[i].state, "completed");
+		cancelled += !strcmp(c->jobs[i].state, "cancelled");
+	}
+	soak_say(c->s,
+		 "jobs=%u accepted=%u completed=%u cancelled=%u refused=%u "
+		 "unsure=%u calls=%u unanswered=%u",
+		 c->count, phases[JOB_ACCEPTED], completed, cancelled,
+		 phases[JOB_REFUSED], phases[JOB_UNSURE], c->calls,
+		 c->unanswered);
+}
+
+struct callers *callers_new(struct soak *s)
+{
+	struct callers *c = xcalloc(1, sizeof(*c));
+
+	c->s = s;
+	c->jobs = xcalloc(JOBS_MAX, sizeof(*c->jobs));
+	return c;
+}
--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,339 @@
+/* soak: plays faults on a real cell and checks what its callers were promised.
+ */
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include <argtable2.h>
+
+#include "soak.h"
+
+#define TICK_MS 10
+/* The cell has to serve before faults begin, within this time, in ms. */
+#define START_MS 20000
+/*
+ * Accepted work has to end within this time after the last fault, in ms: 14 s
+ * for the longest leases, 8 s for two steps, the rest for a busy machine.
+ */
+#define FINISH_MS 45000
+#define CALL_TIMEOUT_MS 2000
+#define ANSWER_MAX (64U << 20)
+#define EXIT_USAGE 2
+
+enum phase {
+	PHASE_PLATFORM, /* waits for the stand-in of the platform */
+	PHASE_STARTING, /* waits for a daemon */
+	PHASE_FAULTS,
+	PHASE_ENDING,
+	PHASE_VERIFYING
+};
+
+struct run {
+	struct soak s; /* first member */
+	enum phase phase;
+	uint64_t phase_ms; /* when it began */
+	struct timer tick;
+	bool asking;
+};
+
+static volatile sig_atomic_t stop_requested;
+
+static void on_signal(int signal)
+{
+	(void)signal;
+	stop_requested = 1;
+}
+
+/* Returns a port of a daemon. */
+uint32_t soak_daemon_port(const struct soak *s, uint32_t daemon,
+			  enum daemon_port port)
+{
+	return s->options.base_port + PORT_DAEMONS + daemon * DAEMON_PORTS +
+	       port;
+}
+
+/* Returns a number below @below, drawn from the seed. */
+uint32_t soak_random(struct soak *s, uint32_t below)
+{
+	return (uint32_t)(erand48(s->random) * below);
+}
+
+/* Prints a line with the time since the start. */
+void soak_say(const struct soak *s, const char *fmt, ...)
+{
+	va_list ap;
+
+	printf("%8.3f ", (double)(loop_now_ms() - s->began_ms) / 1000);
+	va_start(ap, fmt);
+	vprintf(fmt, ap);
+	va_end(ap);
+	putchar('\n');
+	fflush(stdout);
+}
+
+/* Counts and prints a broken promise. */
+void soak_violation(struct soak *s, const char *fmt, ...)
+{
+	va_list ap;
+
+	s->violations++;
+	printf("%8.3f VIOLATION ",
+	       (double)(loop_now_ms() - s->began_ms) / 1000);
+	va_start(ap, fmt);
+	vprintf(fmt, ap);
+	va_end(ap);
+	putchar('\n');
+	fflush(stdout);
+}
+
+/* Calls the stand-in of the platform itself, past the proxies. */
+void soak_platform(struct soak *s, const char *method, const char *path,
+		   const char *body, httpc_done done, void *ctx)
+{
+	struct buf addr =
+		buf_fmt("127.0.0.1:%u", s->options.base_port + PORT_STORE);
+
+	httpc_send(s->httpc,
+		   &(struct httpc_request){
+			   .addr = addr.data,
+			   .method = method,
+			   .path = path,
+			   .headers = "Content-Type: application/json\r\n",
+			   .body = body,
+			   .body_len = body ? strlen(body) : 0,
+			   .timeout_ms = CALL_TIMEOUT_MS,
+			   .max_answer = ANSWER_MAX,
+			   .done = done,
+			   .ctx = ctx });
+	buf_free(&addr);
+}
+
+static void enter(struct run *run, enum phase phase)
+{
+	run->phase = phase;
+	run->phase_ms = loop_now_ms();
+}
+
+static void on_observed(void *ctx, uint32_t ref, struct httpc_response *r)
+{
+	struct run *run = ctx;
+	struct soak *s = &run->s;
+
+	(void)ref;
+	callers_verify(s->callers, r->body.data, r->body.len);
+	callers_report(s->callers);
+	loop_stop(s->loop);
+}
+
+static void on_probe(void *ctx, uint32_t ref, struct httpc_response *r)
+{
+	struct run *run = ctx;
+	struct soak *s = &run->s;
+
+	(void)ref;
+	run->asking = false;
+	if (r->state != HTTPC_ANSWERED || r->status != 200)
+		return;
+	if (run->phase == PHASE_PLATFORM) {
+		plan_write_config(s->plan);
+		enter(run, PHASE_STARTING);
+	} else if (run->phase == PHASE_STARTING) {
+		soak_say(s, "the cell serves");
+		callers_submit(s->callers, true);
+		enter(run, PHASE_FAULTS);
+	}
+}
+
+/* Waits for the platform, which needs a configuration, then for a daemon. */
+static void await_start(struct run *run, uint64_t now)
+{
+	struct soak *s = &run->s;
+	struct buf addr;
+
+	if (now > run->phase_ms + START_MS) {
+		soak_violation(s, "the cell does not start");
+		loop_stop(s->loop);
+		return;
+	}
+	if (run->asking)
+		return;
+	run->asking = true;
+	if (run->phase == PHASE_PLATFORM) {
+		soak_platform(s, "GET", "/healthz", NULL, on_probe, run);
+		return;
+	}
+	addr = buf_fmt("127.0.0.1:%u", soak_daemon_port(s, 0, DAEMON_READY));
+	httpc_send(s->httpc,
+		   &(struct httpc_request){ .addr = addr.data,
+					    .method = "GET",
+					    .path = "/ready",
+					    .timeout_ms = CALL_TIMEOUT_MS,
+					    .done = on_probe,
+					    .ctx = run });
+	buf_free(&addr);
+}
+
+static void finish(struct run *run, uint64_t now)
+{
+	struct soak *s = &run->s;
+
+	if (!callers_settled(s->callers) && now < run->phase_ms + FINISH_MS)
+		return;
+	soak_say(s, "all has ended, or %u ms have passed", FINISH_MS);
+	enter(run, PHASE_VERIFYING);
+	soak_platform(s, "GET", "/stats", NULL, on_observed, run);
+}
+
+static void on_tick(struct timer *timer)
+{
+	struct run *run = timer->ctx;
+	struct soak *s = &run->s;
+	uint64_t now = loop_now_ms();
+
+	timer_start(s->loop, &run->tick, TICK_MS);
+	if (stop_requested) {
+		soak_violation(s, "interrupted");
+		loop_stop(s->loop);
+		return;
+	}
+	procs_tick(s->procs, now);
+	callers_tick(s->callers, now);
+	switch (run->phase) {
+	case PHASE_PLATFORM:
+	case PHASE_STARTING:
+		await_start(run, now);
+		break;
+	case PHASE_FAULTS:
+		plan_tick(s->plan, now);
+		if (now < run->phase_ms + s->options.seconds * 1000ULL)
+			break;
+		soak_say(s, "faults end");
+		callers_submit(s->callers, false);
+		plan_heal(s->plan);
+		procs_heal(s->procs);
+		enter(run, PHASE_ENDING);
+		break;
+	case PHASE_ENDING:
+		finish(run, now);
+		break;
+	case PHASE_VERIFYING:
+		break;
+	}
+}
+
+static bool open_routes(struct soak *s, struct err *err)
+{
+	uint32_t base = s->options.base_port;
+
+	for (uint32_t i = 0; i < s->options.daemons; i++) {
+		if (proxy_add(s->proxy,
+			      soak_daemon_port(s, i, DAEMON_PEERS_PROXY),
+			      soak_daemon_port(s, i, DAEMON_PEERS),
+			      err) == UINT32_MAX ||
+		    proxy_add(s->proxy,
+			      soak_daemon_port(s, i, DAEMON_STORE_PROXY),
+			      base + PORT_STORE, err) == UINT32_MAX ||
+		    proxy_add(s->proxy,
+			      soak_daemon_port(s, i, DAEMON_ADVICE_PROXY),
+			      base + 1, err) == UINT32_MAX)
+			return false;
+	}
+	for (uint32_t i = 0; i < s->options.minions; i++) {
+		if (proxy_add(s->proxy, base + PORT_MINION_PROXY + i,
+			      base + 3 + i, err) == UINT32_MAX)
+			return false;
+	}
+	return proxy_start(s->proxy, err);
+}
+
+/* Plays one seed; returns the exit status. */
+static int play(const struct soak_options *options)
+{
+	static struct run run;
+	struct soak *s = &run.s;
+	struct err err = { 0 };
+
+	s->options = *options;
+	s->random[0] = (unsigned short)options->seed;
+	s->random[1] = (unsigned short)(options->seed >> 16);
+	s->random[2] = (unsigned short)(options->seed >> 32);
+	s->loop = loop_new();
+	s->httpc = httpc_new(s->loop);
+	s->began_ms = loop_now_ms();
+	s->proxy = proxy_new();
+	s->procs = procs_new(s);
+	s->callers = callers_new(s);
+	s->plan = plan_new(s);
+	signal(SIGPIPE, SIG_IGN);
+	signal(SIGTERM, on_signal);
+	signal(SIGINT, on_signal);
+	if (!open_routes(s, &err) || !procs_open(s->procs, &err)) {
+		fprintf(stderr, "soak: %s\n", err.text);
+		procs_close(s->procs);
+		return EXIT_USAGE;
+	}
+	run.tick = (struct timer){ .fn = on_tick, .ctx = &run };
+	enter(&run, PHASE_PLATFORM);
+	timer_start(s->loop, &run.tick, TICK_MS);
+	loop_run(s->loop);
+	procs_close(s->procs);
+	soak_say(s, "seed=%llu seconds=%u daemons=%u faults=%u violations=%u",
+		 (unsigned long long)options->seed, options->seconds,
+		 options->daemons, plan_count(s->plan), s->violations);
+	return s->violations ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+static int number(const struct arg_int *arg, int absent)
+{
+	return arg->count ? arg->ival[0] : absent;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *seed = arg_int1("s", "seed", "N", "draws the faults");
+	struct arg_int *seconds =
+		arg_int0("t", "seconds", "N", "of traffic with faults (20)");
+	struct arg_int *daemons =
+		arg_int0(NULL, "daemons", "N", "of the cell (4)");
+	struct arg_int *minions =
+		arg_int0(NULL, "minions", "N", "of the cell (8)");
+	struct arg_int *port =
+		arg_int0("p", "base-port", "N", "first of 700 ports (20000)");
+	struct arg_str *build =
+		arg_str0("b", "build", "DIR", "directory of programs (build)");
+	struct arg_str *dir =
+		arg_str1("d", "dir", "DIR", "for settings and logs");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {
+		seed, seconds, daemons, minions, port, build, dir, end
+	};
+	struct soak_options options;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "soak");
+		fputs("usage: soak", stderr);
+		arg_print_syntax(stderr, table, "\n");
+		return EXIT_USAGE;
+	}
+	options = (struct soak_options){
+		.build = build->count ? build->sval[0] : "build",
+		.dir = dir->sval[0],
+		.seed = (uint64_t)seed->ival[0],
+		.seconds = (uint32_t)number(seconds, 20),
+		.daemons = (uint32_t)number(daemons, 4),
+		.minions = (uint32_t)number(minions, 8),
+		.base_port = (uint32_t)number(port, 20000),
+	};
+	if (!options.daemons || options.daemons > SOAK_DAEMONS_MAX ||
+	    !options.minions || options.minions > SOAK_MINIONS_MAX) {
+		fprintf(stderr,
+			"soak: expected 1 to %d daemons and 1 to %d minions\n",
+			SOAK_DAEMONS_MAX, SOAK_MINIONS_MAX);
+		return EXIT_USAGE;
+	}
+	mkdir(options.dir, 0700);
+	return play(&options);
+}
--- /dev/null
+++ b/tests/soak/plan.c
@@ -0,0 +1,470 @@
+/*
+ * Faults of the soak, drawn from its seed. They come in series and overlap;
+ * each one ends by itself.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <jansson.h>
+
+#include "soak.h"
+
+#define UNDO_MAX 256
+#define GAP_MAX_MS 1400 /* between two faults */
+#define FAULT_MIN_MS 300
+#define FAULT_MAX_MS 6000
+/* Every so many faults of a daemon meet the one that holds the term. */
+#define HOLDER_SHARE 2
+#define CONFIG_TIMEOUT_MS 2000
+#define HOLDER_POLL_MS 100
+
+/* A fault of a route that ends later. */
+struct undo {
+	uint64_t at_ms; /* 0: free */
+	uint32_t route;
+};
+
+struct plan {
+	struct soak *s;
+	uint64_t next_ms;
+	uint64_t holder_ms;
+	uint32_t holder; /* as the store says */
+	bool asking;
+	uint32_t count;
+	uint32_t version; /* of the configuration */
+	struct undo undo[UNDO_MAX];
+};
+
+struct action {
+	const char *name;
+	uint32_t weight;
+	void (*fn)(struct plan *plan);
+};
+
+/* Routes are added in this order: four for each daemon, then the minions. */
+enum daemon_route { ROUTE_PEERS, ROUTE_STORE, ROUTE_ADVICE, DAEMON_ROUTES };
+
+static uint32_t duration(struct plan *p)
+{
+	return FAULT_MIN_MS + soak_random(p->s, FAULT_MAX_MS - FAULT_MIN_MS);
+}
+
+static uint32_t pick_daemon(struct plan *p)
+{
+	if (!soak_random(p->s, HOLDER_SHARE))
+		return p->holder;
+	return soak_random(p->s, p->s->options.daemons);
+}
+
+static uint32_t route_of(uint32_t daemon, enum daemon_route route)
+{
+	return daemon * DAEMON_ROUTES + route;
+}
+
+static uint32_t pick_minion(struct plan *p)
+{
+	return soak_random(p->s, p->s->options.minions);
+}
+
+static uint32_t route_of_minion(const struct plan *p, uint32_t minion)
+{
+	return p->s->options.daemons * DAEMON_ROUTES + minion;
+}
+
+/* Sets a fault that ends after a time. */
+static void disturb(struct plan *p, uint32_t route,
+		    const struct proxy_fault *fault, uint32_t for_ms)
+{
+	proxy_set(p->s->proxy, route, fault);
+	for (uint32_t i = 0; i < UNDO_MAX; i++) {
+		if (p->undo[i].at_ms)
+			continue;
+		p->undo[i] = (struct undo){ .at_ms = loop_now_ms() + for_ms,
+					    .route = route };
+		return;
+	}
+	proxy_set(p->s->proxy, route, &(struct proxy_fault){ 0 });
+}
+
+static struct proxy_fault draw_cut(struct plan *p)
+{
+	uint32_t kind = soak_random(p->s, 5);
+
+	return (struct proxy_fault){
+		.hold = { kind != 1, kind != 2 },
+		.refuse = kind == 3,
+		.delay_ms = 0,
+	};
+}
+
+static struct proxy_fault draw_delay(struct plan *p)
+{
+	return (struct proxy_fault){ .delay_ms = 5 + soak_random(p->s, 400) };
+}
+
+static void kill_one(struct plan *p)
+{
+	procs_kill(p->s->procs, pick_daemon(p), SIGKILL,
+		   soak_random(p->s, 2500));
+}
+
+static void kill_in_series(struct plan *p)
+{
+	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
+		if (soak_random(p->s, 3))
+			procs_kill(p->s->procs, i, SIGKILL,
+				   soak_random(p->s, 4000));
+	}
+}
+
+static void kill_all(struct plan *p)
+{
+	uint32_t down = soak_random(p->s, 2000);
+
+	for (uint32_t i = 0; i < p->s->options.daemons; i++)
+		procs_kill(p->s->procs, i, SIGKILL, down);
+}
+
+static void stop_one(struct plan *p)
+{
+	procs_kill(p->s->procs, pick_daemon(p), SIGTERM,
+		   soak_random(p->s, 1500));
+}
+
+static void pause_one(struct plan *p)
+{
+	procs_pause(p->s->procs, pick_daemon(p), duration(p));
+}
+
+static void hup_some(struct plan *p)
+{
+	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
+		if (soak_random(p->s, 2))
+			procs_hup(p->s->procs, i);
+	}
+}
+
+static void skew_one(struct plan *p)
+{
+	procs_skew(p->s->procs, pick_daemon(p),
+		   (int64_t)soak_random(p->s, 10000) - 5000);
+}
+
+static void cut_store_one(struct plan *p)
+{
+	struct proxy_fault cut = draw_cut(p);
+
+	disturb(p, route_of(pick_daemon(p), ROUTE_STORE), &cut, duration(p));
+}
+
+static void disturb_store(struct plan *p, const struct proxy_fault *fault)
+{
+	uint32_t for_ms = duration(p);
+
+	for (uint32_t i = 0; i < p->s->options.daemons; i++)
+		disturb(p, route_of(i, ROUTE_STORE), fault, for_ms);
+}
+
+static void cut_store_all(struct plan *p)
+{
+	struct proxy_fault cut = draw_cut(p);
+
+	disturb_store(p, &cut);
+}
+
+static void slow_store(struct plan *p)
+{
+	struct proxy_fault delay = draw_delay(p);
+
+	disturb_store(p, &delay);
+}
+
+static void cut_peers(struct plan *p)
+{
+	struct proxy_fault cut = draw_cut(p);
+
+	disturb(p, route_of(pick_daemon(p), ROUTE_PEERS), &cut, duration(p));
+}
+
+static void slow_peers(struct plan *p)
+{
+	struct proxy_fault delay = draw_delay(p);
+
+	disturb(p, route_of(pick_daemon(p), ROUTE_PEERS), &delay, duration(p));
+}
+
+static void cut_advice(struct plan *p)
+{
+	struct proxy_fault cut = draw_cut(p);
+
+	disturb(p, route_of(pick_daemon(p), ROUTE_ADVICE), &cut, duration(p));
+}
+
+static void cut_minions(struct plan *p)
+{
+	uint32_t n = 1 + soak_random(p->s, 3);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct proxy_fault cut = draw_cut(p);
+
+		disturb(p, route_of_minion(p, pick_minion(p)), &cut,
+			duration(p));
+	}
+}
+
+static void slow_minion(struct plan *p)
+{
+	struct proxy_fault delay = draw_delay(p);
+
+	disturb(p, route_of_minion(p, pick_minion(p)), &delay, duration(p));
+}
+
+static uint32_t pick_route(struct plan *p)
+{
+	return soak_random(p->s, p->s->options.daemons * DAEMON_ROUTES +
+					 p->s->options.minions);
+}
+
+static void reset_some(struct plan *p)
+{
+	for (uint32_t i = 0; i < 6; i++)
+		proxy_reset(p->s->proxy, pick_route(p));
+}
+
+static void silence_some(struct plan *p)
+{
+	for (uint32_t i = 0; i < 6; i++)
+		proxy_silence(p->s->proxy, pick_route(p));
+}
+
+static void on_fault_set(void *ctx, uint32_t ref, struct httpc_response *r)
+{
+	struct plan *p = ctx;
+
+	(void)ref;
+	if (r->state != HTTPC_ANSWERED || r->status != 200)
+		soak_say(p->s, "the platform did not take a fault");
+}
+
+static void tell_platform(struct plan *p, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	soak_platform(p->s, "POST", "/platform", text, on_fault_set, p);
+	free(text);
+	json_decref(body);
+}
+
+static void write_late(struct plan *p)
+{
+	tell_platform(p, json_pack("{s:i,s:i}", "late_writes",
+				   1 + (int)soak_random(p->s, 4), "late_ms",
+				   (int)soak_random(p->s, 6000)));
+}
+
+static void order_late(struct plan *p)
+{
+	tell_platform(p, json_pack("{s:i,s:i}", "late_orders",
+				   1 + (int)soak_random(p->s, 6), "late_ms",
+				   (int)soak_random(p->s, 9000)));
+}
+
+static void compact(struct plan *p)
+{
+	tell_platform(p, json_pack("{s:b}", "compact", 1));
+}
+
+static void hit_minion(struct plan *p, const char *fault)
+{
+	tell_platform(p, json_pack("{s:i,s:i}", fault, (int)pick_minion(p),
+				   "for_ms", (int)duration(p)));
+}
+
+static void crash_minion(struct plan *p)
+{
+	hit_minion(p, "crash");
+}
+
+static void drain_minion(struct plan *p)
+{
+	hit_minion(p, "drain");
+}
+
+static void fail_minion(struct plan *p)
+{
+	hit_minion(p, "grey");
+}
+
+static void hang_minion(struct plan *p)
+{
+	hit_minion(p, "hang");
+}
+
+static json_t *queue_json(const char *name, const char *prefix,
+			  uint32_t priority)
+{
+	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:f,s:i,s:i}", "name", name,
+			 "host", SOAK_HOST, "prefix", prefix, "service", "svc",
+			 "priority", (int)priority, "max_attempts", 2,
+			 "stretch", 2.0, "slo_ms", 1000, "timeout_ms", 3000);
+}
+
+static void on_config(void *ctx, uint32_t ref, struct httpc_response *r)
+{
+	struct plan *p = ctx;
+
+	(void)ref;
+	if (r->state == HTTPC_ANSWERED && r->status == 200)
+		callers_config(p->s->callers, p->version);
+}
+
+/* The operator writes a configuration with one more route. */
+void plan_write_config(struct plan *p)
+{
+	json_t *routes = json_array();
+	json_t *quick = queue_json("quick", "/quick/", 0);
+	json_t *body;
+	char *text;
+	char name[16];
+	char prefix[16];
+
+	p->version++;
+	json_array_append_new(routes, queue_json("batch", "/batch/", 1));
+	json_object_set_new(quick, "advice",
+			    json_pack("{s:i,s:f,s:i}", "decide_ms", 5,
+				      "per_item_ms", 0.1, "valid_ms", 2500));
+	json_array_append_new(routes, quick);
+	for (uint32_t i = 1; i <= p->version; i++) {
+		snprintf(name, sizeof(name), "r%u", i);
+		snprintf(prefix, sizeof(prefix), "/r%u/", i);
+		json_array_append_new(routes, queue_json(name, prefix, 1));
+	}
+	body = json_pack("{s:i,s:o,s:[]}", "version", 3 * (int)p->version,
+			 "routes", routes, "services");
+	text = json_dumps(body, JSON_COMPACT);
+	soak_platform(p->s, "PUT", "/op?key=op/config", text, on_config, p);
+	free(text);
+	json_decref(body);
+}
+
+static void change_config(struct plan *p)
+{
+	uint32_t n = 1 + soak_random(p->s, 5);
+
+	for (uint32_t i = 0; i < n; i++)
+		plan_write_config(p);
+}
+
+static const struct action actions[] = {
+	{ "kill", 10, kill_one },
+	{ "kill in series", 2, kill_in_series },
+	{ "kill all", 1, kill_all },
+	{ "stop", 6, stop_one },
+	{ "pause", 8, pause_one },
+	{ "hup", 2, hup_some },
+	{ "skew", 3, skew_one },
+	{ "cut store of one", 6, cut_store_one },
+	{ "cut store", 3, cut_store_all },
+	{ "slow store", 3, slow_store },
+	{ "cut peers", 6, cut_peers },
+	{ "slow peers", 2, slow_peers },
+	{ "cut advice", 3, cut_advice },
+	{ "cut minions", 6, cut_minions },
+	{ "slow minion", 2, slow_minion },
+	{ "reset", 4, reset_some },
+	{ "silence", 4, silence_some },
+	{ "late writes", 4, write_late },
+	{ "late orders", 4, order_late },
+	{ "compact", 2, compact },
+	{ "crash minion", 4, crash_minion },
+	{ "drain minion", 3, drain_minion },
+	{ "failing minion", 2, fail_minion },
+	{ "hanging minion", 2, hang_minion },
+	{ "config", 4, change_config },
+};
+
+#define ACTION_COUNT (sizeof(actions) / sizeof(actions[0]))
+
+static const struct action *draw(struct plan *p)
+{
+	uint32_t total = 0;
+	uint32_t at;
+
+	for (size_t i = 0; i < ACTION_COUNT; i++)
+		total += actions[i].weight;
+	at = soak_random(p->s, total);
+	for (size_t i = 0; i < ACTION_COUNT; i++) {
+		if (at < actions[i].weight)
+			return &actions[i];
+		at -= actions[i].weight;
+	}
+	return &actions[0];
+}
+
+static void undo(struct plan *p, uint64_t now)
+{
+	static const struct proxy_fault none;
+
+	for (uint32_t i = 0; i < UNDO_MAX; i++) {
+		if (!p->undo[i].at_ms || now < p->undo[i].at_ms)
+			continue;
+		proxy_set(p->s->proxy, p->undo[i].route, &none);
+		p->undo[i].at_ms = 0;
+	}
+}
+
+static void on_holder(void *ctx, uint32_t ref, struct httpc_response *r)
+{
+	struct plan *p = ctx;
+	unsigned int daemon;
+
+	(void)ref;
+	p->asking = false;
+	if (r->state == HTTPC_ANSWERED && r->status == 200 && r->body.len &&
+	    sscanf(r->body.data, "{\"holder\":\"d%u ", &daemon) == 1 &&
+	    daemon < p->s->options.daemons)
+		p->holder = daemon;
+}
+
+/* Begins and ends faults. */
+void plan_tick(struct plan *p, uint64_t now_ms)
+{
+	const struct action *action;
+
+	undo(p, now_ms);
+	if (!p->asking && now_ms >= p->holder_ms) {
+		p->asking = true;
+		p->holder_ms = now_ms + HOLDER_POLL_MS;
+		soak_platform(p->s, "GET", "/holder", NULL, on_holder, p);
+	}
+	if (now_ms < p->next_ms)
+		return;
+	p->next_ms = now_ms + soak_random(p->s, GAP_MAX_MS);
+	action = draw(p);
+	soak_say(p->s, "fault=\"%s\" holder=%u", action->name, p->holder);
+	p->count++;
+	action->fn(p);
+}
+
+/* Ends all faults of the links; those of processes end with procs_heal(). */
+void plan_heal(struct plan *p)
+{
+	undo(p, UINT64_MAX);
+	tell_platform(p, json_pack("{s:i}", "late_writes", 0));
+	tell_platform(p, json_pack("{s:i}", "late_orders", 0));
+}
+
+/* Returns how many faults have begun. */
+uint32_t plan_count(const struct plan *p)
+{
+	return p->count;
+}
+
+struct plan *plan_new(struct soak *s)
+{
+	struct plan *p = xcalloc(1, sizeof(*p));
+
+	p->s = s;
+	return p;
+}
