Slow filling tasks down beside serving ones, and move runs off draining minions

Cause: the product ignored the tail latency that minions report, so tasks that fill left-over processors could hold serving tasks over their target for as long as they ran. Runs on a draining minion stayed until it left, and lost what was not saved.

Change: lib/cell/pace.c halves the pace of filling tasks when a tail comes close to its target, stops them beyond it and raises them in steps while tails are low; such minions are looked at every 500 ms. A successor sets the pace anew. Filling and serving tasks prefer minions without the other kind. lib/cell/drain.c stops tasks that last, and checkpointing ones that cannot end in time, as soon as their minion drains.

Ruled out: keeping the two kinds apart altogether, since serving tasks are spread over all minions and would leave filling ones no room.

--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -209,6 +209,23 @@
 	pf_stop(h->d->httpc, stop, h->token, ORDER_TIMEOUT_MS, on_stop, h);
 }
 
+static void on_paced(void *ctx, uint32_t minion, const char *task, uint64_t run,
+		     uint32_t percent, enum cell_result result)
+{
+	struct holder *h = ctx;
+
+	if (call_returned(h))
+		cell_on_pace(h->cell, minion, task, run, percent, result);
+}
+
+static void op_pace(struct cell_owner *owner, const struct cell_pace *pace)
+{
+	struct holder *h = of_owner(owner);
+
+	h->calls++;
+	pf_pace(h->d->httpc, pace, h->token, ORDER_TIMEOUT_MS, on_paced, h);
+}
+
 static void on_look(void *ctx, uint32_t minion, const char *id,
 		    enum cell_result result, const struct cell_report *report,
 		    uint64_t sent_ms)
@@ -311,6 +328,7 @@
 static const struct cell_ops cell_ops = {
 	.start = op_start,
 	.stop = op_stop,
+	.pace = op_pace,
 	.ask = op_ask,
 	.record = op_record,
 	.hold = op_hold,
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -59,6 +59,16 @@
 	uint64_t run;
 };
 
+/* Lets a run work at a share of its speed. */
+struct cell_pace {
+	uint32_t minion;
+	const char *addr;
+	const char *minion_id;
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+	uint32_t percent; /* 0 to 100 */
+};
+
 /* Asks which of the minions may run a step. */
 struct cell_question {
 	uint32_t handle;
@@ -104,6 +114,7 @@
 struct cell_ops {
 	void (*start)(struct cell_owner *owner, const struct cell_start *start);
 	void (*stop)(struct cell_owner *owner, const struct cell_stop *stop);
+	void (*pace)(struct cell_owner *owner, const struct cell_pace *pace);
 	void (*ask)(struct cell_owner *owner, const struct cell_question *q);
 	/* Adds a record to the journal; cell_recorded() confirms it. */
 	void (*record)(struct cell_owner *owner, uint64_t seq,
@@ -147,6 +158,9 @@
 	uint64_t run;
 	const char *saved;
 	uint32_t percent;
+	/* Lately: the tail in ms of a serving task, thousandths of cores else.
+	 */
+	uint32_t load;
 };
 
 struct cell_ended {
@@ -245,6 +259,8 @@
 		   uint64_t run, enum cell_result result, uint64_t now_ms);
 void cell_on_stop(struct cell *cell, uint32_t minion, const char *task,
 		  uint64_t run, enum cell_result result, uint64_t now_ms);
+void cell_on_pace(struct cell *cell, uint32_t minion, const char *task,
+		  uint64_t run, uint32_t percent, enum cell_result result);
 void cell_on_advice(struct cell *cell, uint32_t question, bool answered,
 		    const struct cell_ticket *good, uint32_t count,
 		    uint64_t now_ms);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -85,6 +85,8 @@
 	UT_hash_handle hh;
 };
 
+#define CELL_PACE_UNKNOWN 255
+
 struct cell_run {
 	char task[CELL_TASK_MAX];
 	uint64_t run;
@@ -97,6 +99,12 @@
 	uint64_t stop_after_ms; /* next attempt */
 	uint64_t stopped_ms;	/* the stop was acknowledged, 0: not */
 	bool seen;		/* in the report at hand */
+	bool fills;		/* takes what others leave unused */
+	bool pace_acked;
+	uint8_t pace;	    /* percent of its speed, or CELL_PACE_UNKNOWN */
+	uint32_t target_ms; /* tail of a serving task, 0: it serves nobody */
+	uint32_t load;	    /* as in cell_running */
+	uint64_t pace_sent_ms;
 };
 
 struct cell_minion {
@@ -125,6 +133,8 @@
 	uint64_t observed;	 /* highest that is durable */
 	double fail_score;
 	uint64_t suspect_until_ms;
+	uint64_t drain_ms; /* when it was listed as draining, 0: it is not */
+	uint64_t calm_ms; /* tails were high, or filling tasks got more, then */
 	struct cell_res held;
 	uint32_t run_count;
 	uint32_t run_capacity;
@@ -245,8 +255,8 @@
 struct cell_run *cell_run_find(struct cell_minion *m, const char *task,
 			       uint64_t run);
 struct cell_run *cell_run_add(struct cell_minion *m, const char *task,
-			      uint64_t run, const struct cell_res *held,
-			      uint64_t now_ms);
+			      uint64_t run, const struct cell_step_spec *spec,
+			      const struct cell_res *held, uint64_t now_ms);
 void cell_run_stop(struct cell *cell, struct cell_minion *m,
 		   struct cell_run *run, uint64_t now_ms);
 bool cell_minion_usable(const struct cell *cell, const struct cell_minion *m,
@@ -260,6 +270,17 @@
 void cell_minion_forget(struct cell *cell, const char *id);
 void cell_run_drop(struct cell *cell, struct cell_minion *m, uint32_t at);
 
+/* pace.c */
+bool cell_minion_paced(const struct cell_minion *m);
+uint32_t cell_minion_look_wait(const struct cell *cell,
+			       const struct cell_minion *m);
+void cell_minion_pace(struct cell *cell, struct cell_minion *m,
+		      uint64_t now_ms);
+
+/* drain.c */
+void cell_minion_evacuate(struct cell *cell, struct cell_minion *m,
+			  uint64_t now_ms);
+
 /* place.c */
 struct cell_res cell_step_held(const struct cell_step_spec *spec);
 uint32_t cell_fit(const struct cell_minion *m, const struct cell_step *step);
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -107,17 +107,26 @@
 	return NULL;
 }
 
-/* Takes room for a run, until the run is known to have ended. */
+/*
+ * Takes room for a run, until the run is known to have ended. @spec is NULL if
+ * its job is not known.
+ */
 struct cell_run *cell_run_add(struct cell_minion *m, const char *task,
-			      uint64_t run, const struct cell_res *held,
-			      uint64_t now_ms)
+			      uint64_t run, const struct cell_step_spec *spec,
+			      const struct cell_res *held, uint64_t now_ms)
 {
 	struct cell_run *r;
 
 	cell_grow((void **)&m->runs, &m->run_capacity, m->run_count,
 		  sizeof(*m->runs));
 	r = &m->runs[m->run_count++];
-	*r = (struct cell_run){ .run = run, .held = *held, .sent_ms = now_ms };
+	*r = (struct cell_run){
+		.run = run,
+		.held = *held,
+		.sent_ms = now_ms,
+		.fills = spec && spec->fills,
+		.target_ms = spec ? spec->target_ms : 0,
+	};
 	snprintf(r->task, sizeof(r->task), "%s", task);
 	m->held.cpu_milli += held->cpu_milli;
 	m->held.mem_mb += held->mem_mb;
@@ -204,7 +213,7 @@
 	}
 	out->observed = m->observed;
 	if (m->observed == m->seen && !m->look_now)
-		out->wait_ms = cell->settings.hold_wait_ms;
+		out->wait_ms = cell_minion_look_wait(cell, m);
 	m->look_now = false;
 	if (cell->valid && m->clock_known)
 		out->deadline_ms = cell_minion_deadline(cell, m, now_ms);
@@ -259,13 +268,17 @@
 }
 
 static void merge_info(struct cell *cell, struct cell_minion *m,
-		       const struct cell_minion_info *info)
+		       const struct cell_minion_info *info, uint64_t now_ms)
 {
 	if (m->info.draining != info->draining)
 		cell_event(cell,
 			   &(struct cell_event){ .what = "minion-draining",
 						 .minion = info->id,
 						 .value = info->draining });
+	if (!info->draining)
+		m->drain_ms = 0;
+	else if (!m->drain_ms)
+		m->drain_ms = now_ms;
 	m->info = *info;
 	m->listed = true;
 }
@@ -295,7 +308,7 @@
 						 .what = "minion-new",
 						 .minion = infos[i].id });
 		}
-		merge_info(cell, m, &infos[i]);
+		merge_info(cell, m, &infos[i], now_ms);
 	}
 	if (!cell->minions_listed)
 		cell->first_listed_ms = now_ms;
@@ -445,9 +458,12 @@
 	struct cell_task *task = cell_task_find(cell, row->task, &step);
 	struct cell_run *run;
 
-	run = cell_run_add(m, row->task, row->run, &held, now_ms);
+	run = cell_run_add(m, row->task, row->run,
+			   cell_step_spec_find(cell, row->task), &held, now_ms);
 	run->acked_ms = now_ms;
 	run->seen = true;
+	run->load = row->load;
+	run->pace = CELL_PACE_UNKNOWN;
 	run->foreign = !known;
 	if (!known)
 		return;
@@ -486,6 +502,7 @@
 		adopt(cell, m, row, now_ms);
 	} else {
 		run->seen = true;
+		run->load = row->load;
 		if (run->foreign && now_ms > run->sent_ms + FOREIGN_MS)
 			cell_run_stop(cell, m, run, now_ms);
 		if (!run->acked_ms)
@@ -567,6 +584,7 @@
 	for (uint32_t i = 0; i < report->running_count; i++)
 		take_running(cell, m, &report->running[i], now_ms);
 	drop_missing(cell, m, sent_ms, now_ms);
+	cell_minion_pace(cell, m, now_ms);
 	if (!m->reached)
 		first_report(cell, m, now_ms);
 	m->look_at_ms = now_ms;
@@ -707,6 +725,8 @@
 			return;
 		}
 	}
+	if (m->drain_ms && cell->valid)
+		cell_minion_evacuate(cell, m, now_ms);
 	tick_runs(cell, m, now_ms);
 	if (m->look_now || (!m->looks && now_ms >= m->look_at_ms)) {
 		m->looks++;
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -6,6 +6,12 @@
 
 /* A ticket has to be valid at the minion when the start arrives. */
 #define TICKET_MARGIN_MS 60
+/* The speed of a run when it begins, in percent. */
+#define PACE_FULL 100
+
+/* Ranks of minions that have room; the sum of what applies. */
+#define RANK_DISTURBS 1
+#define RANK_REMOTE 2
 
 struct candidate {
 	struct cell_minion *minion;
@@ -104,6 +110,18 @@
 	return x->minion->handle < y->minion->handle ? -1 : 1;
 }
 
+/* Filling tasks and serving tasks on one minion disturb each other. */
+static bool disturbs(const struct cell_minion *m,
+		     const struct cell_step_spec *spec)
+{
+	bool found = false;
+
+	for (uint32_t i = 0; i < m->run_count && !found; i++)
+		found = (spec->fills && m->runs[i].target_ms) ||
+			(spec->target_ms && m->runs[i].fills);
+	return found;
+}
+
 static void add_candidate(const struct cell_step *step, struct cell_minion *m,
 			  const struct cell_grant *grant, struct candidate *out,
 			  uint32_t *count)
@@ -120,7 +138,9 @@
 	if (step->spec->fills)
 		c->free_cpu = UINT32_MAX - c->free_cpu;
 	if (step->spec->affinity[0] && !has_label(m, step->spec->affinity))
-		c->rank = 1;
+		c->rank += RANK_REMOTE;
+	if (disturbs(m, step->spec))
+		c->rank += RANK_DISTURBS;
 }
 
 static uint32_t collect(struct cell *cell, struct cell_step *step,
@@ -160,6 +180,7 @@
 	struct cell_minion *m = c->minion;
 	struct cell_res held = cell_step_held(step->spec);
 	struct cell_job *job = step->job;
+	struct cell_run *placed;
 	struct cell_start start = { .minion = m->handle,
 				    .addr = m->info.addr,
 				    .minion_id = m->info.id,
@@ -179,7 +200,9 @@
 	job->begun = true;
 	if (job->state == CELL_JOB_QUEUED)
 		job->state = CELL_JOB_RUNNING;
-	cell_run_add(m, start.task, run, &held, now_ms);
+	placed = cell_run_add(m, start.task, run, step->spec, &held, now_ms);
+	placed->pace = PACE_FULL;
+	placed->pace_acked = true;
 	start.deadline_ms = cell_minion_deadline(cell, m, now_ms);
 	cell->stats.starts++;
 	cell_event(cell,
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -31,6 +31,13 @@
 	std::string task;
 	uint64_t run;
 	std::string saved;
+	uint32_t load = 0;
+	uint32_t percent = 0;
+};
+
+struct Pace {
+	std::string task;
+	uint32_t percent;
 };
 
 struct End {
@@ -47,6 +54,7 @@
 	struct cell_config config = {};
 	std::vector<Order> starts;
 	std::vector<Order> stops;
+	std::vector<Pace> paces;
 	std::vector<Question> questions;
 	std::vector<uint64_t> records;
 	std::vector<uint32_t> looks;
@@ -79,6 +87,12 @@
 						{ s->minion, s->minion_id,
 						  s->task, s->run, "", 0 });
 				},
+			.pace =
+				[](struct cell_owner *o,
+				   const struct cell_pace *p) {
+					of(o)->paces.push_back(
+						{ p->task, p->percent });
+				},
 			.ask =
 				[](struct cell_owner *o,
 				   const struct cell_question *q) {
@@ -210,6 +224,8 @@
 				 rows[i].task.c_str());
 			running[i].run = rows[i].run;
 			running[i].saved = rows[i].saved.c_str();
+			running[i].load = rows[i].load;
+			running[i].percent = rows[i].percent;
 		}
 		for (size_t i = 0; i < ends.size(); i++) {
 			ended[i] = {};
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -616,3 +616,209 @@
 	f.tick();
 	EXPECT_EQ(f.starts.size(), 2U);
 }
+
+namespace
+{
+
+/* A minion that runs a serving task and, beside it, a filling one. */
+struct Shared : CellFixture {
+	std::string serving;
+	std::string filling;
+	uint64_t serving_run = 0;
+	uint64_t filling_run = 0;
+
+	Shared()
+	{
+		struct cell_job_spec front;
+		struct cell_job_spec batch;
+
+		queue("q", 0, 2);
+		cell_replayed(cell, now);
+		minions(1, 8000);
+		front = job("front", "q", 1, 1000);
+		front.steps[0].long_running = true;
+		front.steps[0].target_ms = 100;
+		submit(front);
+		batch = job("batch", "q", 1, 7500);
+		batch.steps[0].fills = true;
+		submit(batch);
+		tick();
+		for (const auto &s : starts) {
+			bool fills = s.task == "batch.0.0.0";
+
+			cell_on_start(cell, 0, s.task.c_str(), s.run, CELL_OK,
+				      now);
+			(fills ? filling : serving) = s.task;
+			(fills ? filling_run : serving_run) = s.run;
+		}
+	}
+
+	/* The minion reports after @ms that the serving task has that tail. */
+	void tail(uint32_t tail_ms, uint64_t ms)
+	{
+		now += ms;
+		report(0, "m0",
+		       { { serving, serving_run, "", tail_ms, 100 },
+			 { filling, filling_run, "", 3000, 20 } },
+		       {});
+		for (const auto &p : paces)
+			cell_on_pace(cell, 0, p.task.c_str(), filling_run,
+				     p.percent, CELL_OK);
+	}
+};
+
+} // namespace
+
+/*
+ * Guards against serving tasks that stay over their target because of what
+ * fills the processors beside them (rule HARM).
+ */
+TEST(Cell, FillingTasksGiveWayToServingOnes)
+{
+	Shared f;
+
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.tail(30, 500);
+	EXPECT_TRUE(f.paces.empty());
+	f.tail(90, 500);
+	ASSERT_EQ(f.paces.size(), 1U);
+	EXPECT_EQ(f.paces[0].task, "batch.0.0.0");
+	EXPECT_EQ(f.paces[0].percent, 50U);
+	f.tail(120, 500);
+	ASSERT_EQ(f.paces.size(), 2U);
+	EXPECT_EQ(f.paces[1].percent, 0U);
+}
+
+/* Guards against filling tasks that stay slow when the serving ones are calm.
+ */
+TEST(Cell, FillingTasksGetMoreWhileTailsAreLow)
+{
+	Shared f;
+
+	f.tail(150, 500);
+	ASSERT_EQ(f.paces.size(), 1U);
+	f.tail(70, 500);
+	f.tail(30, 500);
+	EXPECT_EQ(f.paces.size(), 1U);
+	f.tail(30, 1500);
+	ASSERT_EQ(f.paces.size(), 2U);
+	EXPECT_EQ(f.paces[1].percent, 10U);
+	for (int i = 0; i < 20; i++)
+		f.tail(30, 1500);
+	EXPECT_EQ(f.paces.back().percent, 100U);
+	EXPECT_EQ(f.paces.size(), 11U);
+}
+
+/* Guards against a pace order that is lost: the harm would go on. */
+TEST(Cell, APaceWithoutAnAnswerIsSentAgain)
+{
+	Shared f;
+
+	f.now += 500;
+	f.report(0, "m0",
+		 { { f.serving, f.serving_run, "", 150, 100 },
+		   { f.filling, f.filling_run, "", 3000, 20 } },
+		 {});
+	cell_on_pace(f.cell, 0, "batch.0.0.0", f.filling_run, 0,
+		     CELL_NO_ANSWER);
+	f.tail(150, 500);
+	ASSERT_EQ(f.paces.size(), 2U);
+	EXPECT_EQ(f.paces[1].percent, 0U);
+	f.tail(150, 500);
+	EXPECT_EQ(f.paces.size(), 2U);
+}
+
+/*
+ * Guards against a filling task that an earlier holder has stopped from working
+ * and that its successor never lets work again.
+ */
+TEST(Cell, ASuccessorSetsThePaceAnew)
+{
+	CellFixture f;
+	struct cell_record enrolled = {};
+	struct cell_job_spec batch = CellFixture::job("batch", "q", 1, 1000);
+
+	f.queue("q", 0, 2);
+	batch.steps[0].fills = true;
+	f.submit(batch, false);
+	enrolled.kind = CELL_RECORD_ENROLLED;
+	enrolled.minion = "m0";
+	enrolled.addr = "10.0.0.1:80";
+	cell_replay(f.cell, &enrolled);
+	cell_replayed(f.cell, f.now);
+	f.list(1, 8000);
+	f.report(0, "m0", { { "batch.0.0.0", 77, "", 0, 20 } }, {});
+	ASSERT_EQ(f.paces.size(), 1U);
+	EXPECT_EQ(f.paces[0].percent, 100U);
+}
+
+/* Guards against looks that are too rare to see a tail rise. */
+TEST(Cell, MinionsWithBothKindsAreLookedAtMoreOften)
+{
+	Shared f;
+	struct cell_hold hold;
+
+	f.tail(30, 500);
+	f.tick();
+	ASSERT_TRUE(cell_hold_request(f.cell, 0, &hold, f.now));
+	EXPECT_EQ(hold.wait_ms, 500U);
+}
+
+/* Guards against filling tasks beside serving ones where others have room. */
+TEST(Cell, FillingTasksGoWhereNothingServes)
+{
+	CellFixture f;
+	struct cell_job_spec front = CellFixture::job("front", "q", 1, 1000);
+	struct cell_job_spec batch = CellFixture::job("batch", "q", 1, 1000);
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(2, 8000);
+	front.steps[0].long_running = true;
+	front.steps[0].target_ms = 100;
+	f.submit(front);
+	f.tick();
+	batch.steps[0].fills = true;
+	f.submit(batch);
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 2U);
+	EXPECT_NE(f.starts[0].minion_id, f.starts[1].minion_id);
+}
+
+/*
+ * Guards against work that is lost with a minion that leaves: tasks that last
+ * go on elsewhere, and those that save their progress and cannot end in time.
+ */
+TEST(Cell, RunsThatCannotEndOnADrainingMinionMove)
+{
+	CellFixture f;
+	struct cell_minion_info info = CellFixture::minion("m0", 8000);
+	struct cell_job_spec lasts = CellFixture::job("lasts", "q", 1, 1000);
+	struct cell_job_spec saves = CellFixture::job("saves", "q", 1, 1000);
+	std::vector<Row> rows;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	lasts.steps[0].long_running = true;
+	saves.steps[0].checkpointing = true;
+	saves.steps[0].estimate_ms = 9000;
+	f.submit(lasts);
+	f.submit(saves);
+	f.submit(CellFixture::job("short", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 3U);
+	for (const auto &s : f.starts) {
+		cell_on_start(f.cell, 0, s.task.c_str(), s.run, CELL_OK, f.now);
+		rows.push_back({ s.task, s.run, "" });
+	}
+	f.now += 100;
+	f.report(0, "m0", rows, {});
+	info.draining = true;
+	info.remaining_ms = 2500;
+	cell_set_minions(f.cell, &info, 1, f.now);
+	f.tick();
+	ASSERT_EQ(f.stops.size(), 2U);
+	for (const auto &s : f.stops)
+		EXPECT_NE(s.task, "short.0.0.0");
+}
