Keep the tasks of a step in one rack where it has room

Cause: tasks that belong into one rack (same_rack) were placed by room alone, and took remote_factor times as long when that spread them.

Change: such a step gets the rack where it runs, else the one with the most room, and is spread only if no rack has enough. Questions for advice name one rack after the other for it.

--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -33,6 +33,8 @@
 #define ANSWER_TRAVEL_MS 40
 /* Next look for a lane, in ms. */
 #define LANE_RETRY_MS 15
+/* Bits of a key that tell the minions of a rack apart. */
+#define RACK_SHIFT 12
 /* Next question after one that was not answered, in ms. */
 #define ASK_RETRY_MS 100
 
@@ -131,6 +133,20 @@
 	return (uint32_t)(h >> 32);
 }
 
+/*
+ * A step whose tasks belong into one rack asks about one rack after the other,
+ * as tickets that are spread over all racks would seldom suffice in one.
+ */
+static uint32_t rack_key(const struct cell *cell, const struct cell_minion *m)
+{
+	uint64_t h = cell->stats.questions + 1;
+
+	for (const char *p = m->info.rack; *p; p++)
+		h = (h ^ (unsigned char)*p) * 0x100000001B3ULL;
+	return (uint32_t)(h >> 32) << RACK_SHIFT |
+	       shuffle_key(cell, m->handle) >> (32 - RACK_SHIFT);
+}
+
 static bool can_ever_fit(const struct cell_minion *m,
 			 const struct cell_step *step)
 {
@@ -198,7 +214,9 @@
 			out[n++] = (struct choice){
 				.minion = i,
 				.fit = cell_fit(m, step),
-				.shuffle = shuffle_key(cell, i),
+				.shuffle = step->spec->same_rack
+						   ? rack_key(cell, m)
+						   : shuffle_key(cell, i),
 			};
 			unknown++;
 		}
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -147,6 +147,7 @@
 	char az[CELL_NAME_MAX];
 	char labels[CELL_LABELS_MAX][CELL_NAME_MAX];
 	uint32_t label_count;
+	char rack[CELL_NAME_MAX]; /* empty: not known */
 	struct cell_res capacity;
 	uint64_t born_unix_ms;
 	bool draining;
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -240,6 +240,60 @@
 	return n;
 }
 
+/* Returns the room of the candidates in a rack. */
+static uint32_t room_in_rack(const struct candidate *c, uint32_t count,
+			     const char *rack)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (!strcmp(c[i].minion->info.rack, rack))
+			n += c[i].minion->trial_tasks;
+	}
+	return n;
+}
+
+/* Returns the rack where tasks of the step run, or NULL. */
+static const char *rack_of_step(const struct cell *cell,
+				const struct cell_step *step)
+{
+	for (uint32_t i = 0; i < step->spec->count && step->active; i++) {
+		if (step->tasks[i].state == CELL_TASK_ACTIVE)
+			return cell->minions[step->tasks[i].minion]->info.rack;
+	}
+	return NULL;
+}
+
+/*
+ * Keeps the candidates of one rack, for a step whose tasks are slow when they
+ * are spread over several: the rack where it runs, else the one with the most
+ * room. Keeps all if that rack has too little. Returns how many are kept.
+ */
+static uint32_t keep_rack(const struct cell *cell, const struct cell_step *step,
+			  struct candidate *c, uint32_t count)
+{
+	const char *rack = rack_of_step(cell, step);
+	uint32_t room = rack ? room_in_rack(c, count, rack) : 0;
+	uint32_t wanted = step->spec->gang ? step->left : 1;
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < count && !step->active; i++) {
+		uint32_t n = room_in_rack(c, count, c[i].minion->info.rack);
+
+		if (n <= room)
+			continue;
+		room = n;
+		rack = c[i].minion->info.rack;
+	}
+	if (room < wanted)
+		return count;
+	for (uint32_t i = 0; i < count; i++) {
+		if (!strcmp(c[i].minion->info.rack, rack))
+			c[kept++] = c[i];
+	}
+	return kept;
+}
+
 /* Starts as many tasks of the step as have room; a gang starts as a whole. */
 static void place(struct cell *cell, struct cell_step *step,
 		  struct candidate *c, uint32_t count, uint64_t now_ms)
@@ -308,6 +362,8 @@
 	if (step->job->inherited && (cell->unsettled || !cell->minions_listed))
 		return;
 	n = collect(cell, step, order->queue, candidates, now_ms);
+	if (step->spec->same_rack)
+		n = keep_rack(cell, step, candidates, n);
 	if (n)
 		place(cell, step, candidates, n, now_ms);
 	if (cell_step_todo(step) && order->queue->advice.needed)
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -822,3 +822,60 @@
 	for (const auto &s : f.stops)
 		EXPECT_NE(s.task, "short.0.0.0");
 }
+
+/*
+ * Guards against tasks that are slow because they are spread over racks while
+ * one rack has room for all of them.
+ */
+TEST(Cell, AStepOfOneRackStaysTogether)
+{
+	CellFixture f;
+	struct cell_minion_info infos[6];
+	struct cell_job_spec job = CellFixture::job("j", "q", 3, 1000);
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	for (int i = 0; i < 6; i++) {
+		/* Tight packing alone would begin with the smaller ones. */
+		infos[i] = CellFixture::minion("m" + std::to_string(i),
+					       i % 2 ? 2000 : 1000);
+		snprintf(infos[i].rack, sizeof(infos[i].rack), "r%d", i / 3);
+	}
+	cell_set_minions(f.cell, infos, 6, f.now);
+	for (uint32_t i = 0; i < 6; i++)
+		f.report(i, "m" + std::to_string(i), {}, {});
+	f.durable();
+	f.tick();
+	job.steps[0].gang = true;
+	job.steps[0].same_rack = true;
+	f.submit(job);
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 3U);
+	EXPECT_EQ(f.starts[0].minion / 3, f.starts[1].minion / 3);
+	EXPECT_EQ(f.starts[0].minion / 3, f.starts[2].minion / 3);
+}
+
+/* Guards against a step that waits for ever because no rack has enough room. */
+TEST(Cell, AStepOfOneRackThatFitsNoneIsSpread)
+{
+	CellFixture f;
+	struct cell_minion_info infos[2];
+	struct cell_job_spec job = CellFixture::job("j", "q", 2, 1000);
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	for (int i = 0; i < 2; i++) {
+		infos[i] = CellFixture::minion("m" + std::to_string(i), 1000);
+		snprintf(infos[i].rack, sizeof(infos[i].rack), "r%d", i);
+	}
+	cell_set_minions(f.cell, infos, 2, f.now);
+	for (uint32_t i = 0; i < 2; i++)
+		f.report(i, "m" + std::to_string(i), {}, {});
+	f.durable();
+	f.tick();
+	job.steps[0].gang = true;
+	job.steps[0].same_rack = true;
+	f.submit(job);
+	f.tick();
+	EXPECT_EQ(f.starts.size(), 2U);
+}
