--- a/Makefile
+++ b/Makefile
@@ -151,6 +151,7 @@
 		--error-exitcode=1 -Ilib -Icommon -I. $(C_SRC)
 	$(if $(wildcard man/*.[158]),mandoc -Tlint -Wwarning $(wildcard man/*.[158]))
 	scripts/check-symbols $(O)
+	scripts/check-events
 
 # RC_PARAMS fixes the seed of the property tests.
 unit: $(TESTS)
--- a/tests/process/35-zone-without-store.sh
+++ b/tests/process/35-zone-without-store.sh
@@ -4,7 +4,7 @@
 set -u
 . tests/process/lib.sh
 DAEMONS=2
-test_open 35-zone-without-store 26100
+test_open 35-zone-without-store 28400
 cluster_start
 catalogue_fill
 cluster_settle
