Give a large configuration time to arrive, and confirm it without reading it

With 1,865 routes the configuration takes 620 KB. The link between the regions stayed full, a third of the orders to the other region had no answer in time, and gangs broke again and again.

Change: the time for a read doubles with each one that is not answered, and grows with the size that is known. That a queue does not exist is confirmed by a condition on the revision, which sends nothing back unless there is a newer one.

--- a/jaycelld/config.c
+++ b/jaycelld/config.c
@@ -6,7 +6,16 @@
 
 /* A watch that waits; shorter than the bound of a change on a silent one. */
 #define WATCH_MS 1500
+/*
+ * Time for a read, in ms. It doubles with each read that was not answered in
+ * time, so that a configuration of thousands of routes also gets through a slow
+ * or crowded link: otherwise the retries themselves would keep the link full.
+ */
 #define READ_TIMEOUT_MS 600
+#define READ_DOUBLINGS_MAX 3
+/* A read of what is known already gets this much more for each byte, in us. */
+#define READ_BYTE_US 2
+#define CONFIRM_TIMEOUT_MS 600
 #define RETRY_MS 150
 #define WAITERS_MAX 256
 
@@ -20,6 +29,9 @@
 	struct cell_config current; /* version 0: none yet */
 	struct cell_config former;  /* may be in use by the scheduler */
 	uint64_t read_revision;
+	uint64_t revision;     /* of the current configuration */
+	size_t len;	       /* of its value, in bytes */
+	uint32_t unanswered;   /* reads in a row */
 	uint64_t confirmed_ms; /* sent time of the latest read that held */
 	uint64_t sent_ms;
 	uint64_t confirm_sent_ms;
@@ -49,6 +61,10 @@
 		   (unsigned long long)item->revision, err.text);
 		return;
 	}
+	if (item->revision > c->revision) {
+		c->revision = item->revision;
+		c->len = item->value_len;
+	}
 	if (next.version <= c->current.version) {
 		cell_config_free(&next);
 		return;
@@ -106,9 +122,15 @@
 	struct config_watch *c = ctx;
 
 	if (reply->status != PF_OK && reply->status != PF_MISSING) {
+		ev("config-unread", "status=%d after_ms=%u", reply->status,
+		   reply->took_ms);
+		if (reply->status == PF_UNKNOWN &&
+		    c->unanswered < READ_DOUBLINGS_MAX)
+			c->unanswered++;
 		timer_start(c->d->loop, &c->retry, RETRY_MS);
 		return;
 	}
+	c->unanswered = 0;
 	take_items(c, reply);
 	c->confirmed_ms = c->sent_ms;
 	c->read_revision = reply->read_revision;
@@ -120,10 +142,17 @@
 	read_config(timer->ctx);
 }
 
+static uint32_t read_timeout(const struct config_watch *c)
+{
+	uint32_t known = (uint32_t)(c->len * READ_BYTE_US / 1000);
+
+	return (READ_TIMEOUT_MS + known) << c->unanswered;
+}
+
 static void read_config(struct config_watch *c)
 {
 	c->sent_ms = loop_now_ms();
-	pf_get(c->d->store, PF_CONFIG_KEY, READ_TIMEOUT_MS, on_read, c);
+	pf_get(c->d->store, PF_CONFIG_KEY, read_timeout(c), on_read, c);
 }
 
 static void on_confirm(void *ctx, const struct pf_reply *reply)
@@ -136,12 +165,26 @@
 		waiters[i] = c->waiters[i];
 	c->waiter_count = 0;
 	c->confirming = false;
-	if (reply->status == PF_OK) {
+	/* A conflict shows the newer one. */
+	if (reply->status == PF_CONFLICT)
 		take_items(c, reply);
+	if (reply->status == PF_OK || reply->status == PF_CONFLICT)
 		c->confirmed_ms = c->confirm_sent_ms;
-	}
 	for (uint32_t i = 0; i < n; i++)
-		waiters[i].done(waiters[i].ctx, reply->status == PF_OK);
+		waiters[i].done(waiters[i].ctx,
+				c->confirmed_ms == c->confirm_sent_ms);
+}
+
+/* Asks whether the current configuration is the newest, without reading it. */
+static void confirm(struct config_watch *c, uint64_t now)
+{
+	struct pf_txn txn = { .condition_count = 1 };
+
+	txn.conditions[0] = (struct pf_condition){ .key = PF_CONFIG_KEY,
+						   .revision = c->revision };
+	c->confirming = true;
+	c->confirm_sent_ms = now;
+	pf_commit(c->d->store, &txn, CONFIRM_TIMEOUT_MS, on_confirm, c);
 }
 
 /*
@@ -165,9 +208,7 @@
 		(struct waiter){ .done = done, .ctx = ctx };
 	if (c->confirming)
 		return;
-	c->confirming = true;
-	c->confirm_sent_ms = now;
-	pf_get(c->d->store, PF_CONFIG_KEY, READ_TIMEOUT_MS, on_confirm, c);
+	confirm(c, now);
 }
 
 /* Starts to read and watch the configuration. */
