--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -483,9 +483,7 @@
 	if (!step)
 		return;
 	step->asking = false;
-	queue = cell->config
-			? cell_config_queue(cell->config, step->job->spec.queue)
-			: NULL;
+	queue = cell->config ? cell_queue(cell, step->job->spec.queue) : NULL;
 	if (!answered || !queue) {
 		step->ask_after_ms = now_ms + ASK_RETRY_MS;
 		return;
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -2,6 +2,7 @@
 #include "cell/cell.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "cell/cell_int.h"
 
@@ -31,6 +32,13 @@
 	return cell;
 }
 
+static void index_free(struct cell *cell)
+{
+	HASH_CLEAR(hh, cell->queues);
+	free(cell->queue_refs);
+	cell->queue_refs = NULL;
+}
+
 void cell_free(struct cell *cell)
 {
 	if (!cell)
@@ -38,16 +46,46 @@
 	cell_jobs_free(cell);
 	cell_minions_free(cell);
 	cell_advice_free(cell);
+	index_free(cell);
 	free(cell->ready);
 	free(cell->pending);
 	free(cell);
 }
 
-/* Sets the configuration; it has to stay valid until the next one is set. */
+/*
+ * Sets the configuration; it has to stay valid until the next one is set.
+ * Queues are indexed by name, as there may be thousands and each pass looks for
+ * those of all steps that wait.
+ */
 void cell_set_config(struct cell *cell, const struct cell_config *config)
 {
+	index_free(cell);
 	cell->config = config;
 	cell->dirty = true;
+	if (!config)
+		return;
+	cell->queue_refs =
+		calloc(config->queue_count + 1, sizeof(*cell->queue_refs));
+	if (!cell->queue_refs)
+		abort();
+	for (uint32_t i = 0; i < config->queue_count; i++) {
+		const struct cell_queue_spec *queue = &config->queues[i];
+		struct cell_queue_ref *ref = &cell->queue_refs[i];
+
+		ref->queue = queue;
+		HASH_ADD_KEYPTR(hh, cell->queues, queue->name,
+				strlen(queue->name), ref);
+	}
+}
+
+/* Returns the queue of that name in the configuration in force, or NULL. */
+const struct cell_queue_spec *cell_queue(const struct cell *cell,
+					 const char *name)
+{
+	struct cell_queue_ref *ref;
+
+	HASH_FIND_STR(cell->queues, name, ref);
+	return ref ? ref->queue : NULL;
 }
 
 /*
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -143,6 +143,12 @@
 	uint32_t trial_tasks;
 };
 
+/* A queue of the configuration, by its name. */
+struct cell_queue_ref {
+	const struct cell_queue_spec *queue;
+	UT_hash_handle hh;
+};
+
 struct cell_pending {
 	uint64_t seq;
 	enum cell_record_kind kind;
@@ -183,6 +189,8 @@
 	struct cell_owner *owner;
 	struct cell_settings settings;
 	const struct cell_config *config;
+	struct cell_queue_ref *queue_refs; /* one for each queue of it */
+	struct cell_queue_ref *queues;	   /* by name */
 	uint64_t started_ms;
 	bool valid;
 	bool minions_listed;
@@ -244,6 +252,10 @@
 void cell_event(struct cell *cell, const struct cell_event *event);
 void cell_grow(void **items, uint32_t *capacity, uint32_t count, size_t size);
 
+/* cell.c */
+const struct cell_queue_spec *cell_queue(const struct cell *cell,
+					 const char *name);
+
 /* record.c */
 uint64_t cell_record_add(struct cell *cell, const struct cell_record *record,
 			 const char *job, struct cell_minion *minion,
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -295,7 +295,7 @@
 	job->inherited = !fresh;
 	job->known_ms = now_ms;
 	if (cell->config)
-		queue = cell_config_queue(cell->config, job->spec.queue);
+		queue = cell_queue(cell, job->spec.queue);
 	job->deadline_unix_ms = job->spec.accepted_unix_ms +
 				(queue ? queue->slo_ms : 0) +
 				(uint64_t)((queue ? queue->stretch : 1.0) *
@@ -593,7 +593,7 @@
 	if (step->spec->long_running)
 		return;
 	if (cell->config)
-		queue = cell_config_queue(cell->config, step->job->spec.queue);
+		queue = cell_queue(cell, step->job->spec.queue);
 	if (queue && fails >= queue->max_attempts && job_is_live(step->job))
 		decide(cell, step->job, CELL_JOB_FAILED, now_ms);
 }
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -395,8 +395,7 @@
 			continue;
 		}
 		cell->ready[kept++] = step;
-		o->queue =
-			cell_config_queue(cell->config, step->job->spec.queue);
+		o->queue = cell_queue(cell, step->job->spec.queue);
 		if (!o->queue)
 			continue;
 		o->step = step;
