Count a job as pending until a minion has begun it

Change: it counts as begun when a start is acknowledged, or a run or its end is listed.

The case of cell_test fails before.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -79,7 +79,7 @@
 	uint64_t known_ms;
 	uint64_t ended_ms;
 	bool inherited; /* an earlier holder may have started it */
-	bool begun;	/* a task has been started */
+	bool begun;	/* a minion has begun a task */
 	uint32_t occurrence_count;
 	struct cell_occurrence *occurrences;
 	UT_hash_handle hh;
@@ -243,6 +243,7 @@
 void cell_task_release(struct cell *cell, const char *task, uint64_t run,
 		       uint64_t now_ms);
 bool cell_task_ended(const struct cell_task *task, uint64_t run);
+void cell_job_begun(struct cell_job *job);
 bool cell_end_apply(struct cell *cell, const struct cell_ended *end,
 		    uint32_t minion, uint64_t now_ms);
 void cell_job_stop_runs(struct cell *cell, struct cell_job *job,
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -615,6 +615,14 @@
 		cell_ready_add(cell, step);
 }
 
+/* A minion has begun a task of the job. */
+void cell_job_begun(struct cell_job *job)
+{
+	job->begun = true;
+	if (job->state == CELL_JOB_QUEUED)
+		job->state = CELL_JOB_RUNNING;
+}
+
 /*
  * Applies the end of a run to its task. Returns true if the end is new and has
  * to be recorded; the same end may be reported many times, also by a journal.
@@ -630,9 +638,7 @@
 	add_past(task, end->run, end->end);
 	if (end->run > task->run)
 		task->run = end->run;
-	step->job->begun = true;
-	if (step->job->state == CELL_JOB_QUEUED)
-		step->job->state = CELL_JOB_RUNNING;
+	cell_job_begun(step->job);
 	save_checkpoint(step, task, end->saved);
 	if (end->end == CELL_END_DONE && step->spec->gang)
 		gang_done(cell, step, end->run, now_ms);
@@ -715,8 +721,8 @@
 
 	HASH_ITER(hh, cell->jobs, job, tmp)
 	{
-		if (job->state == CELL_JOB_QUEUED && !job->begun &&
-		    job_is_live(job) && !strcmp(job->spec.queue, queue))
+		if (!job->begun && job_is_live(job) &&
+		    !strcmp(job->spec.queue, queue))
 			n++;
 	}
 	return n;
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -475,9 +475,7 @@
 		task->minion = m->handle;
 		task->progress_ms = now_ms;
 		step->active++;
-		step->job->begun = true;
-		if (step->job->state == CELL_JOB_QUEUED)
-			step->job->state = CELL_JOB_RUNNING;
+		cell_job_begun(step->job);
 		return;
 	}
 	cell_event(cell, &(struct cell_event){ .what = "run-unwanted",
@@ -508,6 +506,8 @@
 		if (!run->acked_ms)
 			run->acked_ms = now_ms;
 	}
+	if (task)
+		cell_job_begun(step->job);
 	if (!task || task->run != row->run)
 		return;
 	if (row->percent != task->percent) {
@@ -651,6 +651,8 @@
 	if (result == CELL_OK) {
 		if (!r->acked_ms)
 			r->acked_ms = now_ms;
+		if (cell_task_find(cell, task, &step))
+			cell_job_begun(step->job);
 		return;
 	}
 	cell_event(cell, &(struct cell_event){ .what = "start-unanswered",
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -197,7 +197,6 @@
 	task->progress_ms = now_ms;
 	task->percent = 0;
 	step->active++;
-	job->begun = true;
 	if (job->state == CELL_JOB_QUEUED)
 		job->state = CELL_JOB_RUNNING;
 	placed = cell_run_add(m, start.task, run, step->spec, &held, now_ms);
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -879,3 +879,25 @@
 	f.tick();
 	EXPECT_EQ(f.starts.size(), 2U);
 }
+
+/*
+ * Guards against a job that is not counted as pending though none of its tasks
+ * has begun: an order without an answer may never be carried out (rule MIXED).
+ */
+TEST(Cell, AJobIsPendingUntilAMinionHasBegunIt)
+{
+	CellFixture f;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(cell_pending(f.cell, "q"), 1U);
+	cell_on_start(f.cell, 0, "j1.0.0.0", f.starts[0].run, CELL_NO_ANSWER,
+		      f.now);
+	EXPECT_EQ(cell_pending(f.cell, "q"), 1U);
+	f.report(0, "m0", { { "j1.0.0.0", f.starts[0].run, "" } }, {});
+	EXPECT_EQ(cell_pending(f.cell, "q"), 0U);
+}
