--- a/Makefile
+++ b/Makefile
@@ -122,17 +122,15 @@
 	scripts/demo
 	scripts/demo-cell
 
-# The stages run one after the other, so that load of one does not disturb the
-# events that another waits for; only the compilers and linters run in parallel.
+# Stages with real processes run one after the other, so that load of one does not
+# disturb the events that another waits for. What only computes runs in parallel.
 JOBS ?= $(shell nproc)
 check:
 	@$(MAKE) --no-print-directory -j$(JOBS) format lint all $(TESTS) $(FUZZERS) $(B)/soak
 	@$(MAKE) --no-print-directory unit
 	@$(MAKE) --no-print-directory process
 	@$(MAKE) --no-print-directory soak-short
-	@$(MAKE) --no-print-directory model
-	@$(MAKE) --no-print-directory fuzz-short
-	@$(MAKE) --no-print-directory -j$(JOBS) sanitize
+	@$(MAKE) --no-print-directory -j$(JOBS) -Otarget model fuzz-short sanitize
 	@scripts/summary $(B)
 
 format:
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -290,7 +290,7 @@
 		room = n;
 		rack = c[i].minion->info.rack;
 	}
-	if (room < wanted)
+	if (!rack || room < wanted)
 		return count;
 	for (uint32_t i = 0; i < count; i++) {
 		if (!strcmp(c[i].minion->info.rack, rack))
--- a/lib/cell/yield.c
+++ b/lib/cell/yield.c
@@ -42,23 +42,26 @@
 	return cell_fit(&empty, step);
 }
 
-/* Keeps as many minions as the gang needs, those with room at present first. */
-static void want_any(struct cell *cell, const struct cell_step *step,
-		     const struct cell_queue_spec *queue, uint64_t now_ms)
+/*
+ * Keeps minions that have room at present, or that have none, until @lacking
+ * places are found. Returns how many still lack.
+ */
+static uint32_t want_any(struct cell *cell, const struct cell_step *step,
+			 const struct cell_queue_spec *queue, bool with_room,
+			 uint32_t lacking, uint64_t now_ms)
 {
-	uint32_t n = cell->minion_count;
-	uint32_t found = 0;
+	for (uint32_t i = 0; i < cell->minion_count && lacking; i++) {
+		struct cell_minion *m = cell->minions[i];
+		uint32_t n;
 
-	for (uint32_t i = 0; i < 2 * n && found < step->left; i++) {
-		struct cell_minion *m = cell->minions[i % n];
-		bool has_room = cell_fit(m, step) > 0;
-
-		if (has_room != (i < n) ||
+		if ((cell_fit(m, step) > 0) != with_room ||
 		    !cell_minion_suits(cell, m, step, queue, now_ms))
 			continue;
 		want(m, queue->priority, now_ms);
-		found += places(m, step);
+		n = places(m, step);
+		lacking -= n < lacking ? n : lacking;
 	}
+	return lacking;
 }
 
 /*
@@ -69,7 +72,10 @@
 		     const struct cell_queue_spec *queue, uint64_t now_ms)
 {
 	if (!queue->advice.needed) {
-		want_any(cell, step, queue, now_ms);
+		uint32_t lacking =
+			want_any(cell, step, queue, true, step->left, now_ms);
+
+		want_any(cell, step, queue, false, lacking, now_ms);
 		return;
 	}
 	for (uint32_t i = 0; i < step->grant_count; i++) {
