Take the load of each service for itself, and say what decided a pace

Found on reading: a second service with idle minions hid that the first one was busy, and the other way round; run-paced gave a share in a field for ages.

--- a/jaycelld/orders.c
+++ b/jaycelld/orders.c
@@ -133,16 +133,21 @@
 
 static void op_event(struct cell_owner *owner, const struct cell_event *e)
 {
+	char input[32] = "";
+
 	(void)owner;
+	if (e->input)
+		snprintf(input, sizeof(input), " input=%llu",
+			 (unsigned long long)e->input);
 	ev(e->what,
 	   "id=%s minion=%s run=%llu detail=\"%s\" age_ms=%llu "
-	   "value=%llu",
+	   "value=%llu%s",
 	   e->task  ? e->task
 	   : e->job ? e->job
 		    : "-",
 	   e->minion ? e->minion : "-", (unsigned long long)e->run,
 	   e->detail ? e->detail : "", (unsigned long long)e->age_ms,
-	   (unsigned long long)e->value);
+	   (unsigned long long)e->value, input);
 }
 
 static void op_forgotten(struct cell_owner *owner, const char *job)
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -108,6 +108,7 @@
 	uint64_t run;
 	const char *detail; /* static text, NULL: none */
 	uint64_t age_ms;    /* of the job or of the input that decided */
+	uint64_t input;	    /* the figure that decided, 0: none */
 	uint64_t value;
 };
 
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -85,6 +85,8 @@
 	UT_hash_handle hh;
 };
 
+/* The speed of a run, in percent of what it has at its start. */
+#define CELL_PACE_FULL 100
 #define CELL_PACE_UNKNOWN 255
 
 struct cell_run {
@@ -223,8 +225,10 @@
 	uint32_t odds_count;
 	uint64_t tidy_ms;
 	uint64_t scheduled_ms;
-	uint64_t unix_ms; /* of the latest tick */
-	bool busy;	  /* most processors are in use */
+	uint64_t unix_ms;		  /* of the latest tick */
+	char load_service[CELL_NAME_MAX]; /* whose load is known */
+	uint64_t load_ms;
+	bool load_busy; /* most of its processors are in use */
 	struct cell_stats stats;
 };
 
@@ -305,7 +309,6 @@
 bool cell_gives_way(const struct cell *cell, const struct cell_minion *m,
 		    const struct cell_step *step,
 		    const struct cell_queue_spec *queue, uint64_t now_ms);
-void cell_note_load(struct cell *cell);
 
 /* place.c */
 struct cell_res cell_step_held(const struct cell_step_spec *spec);
--- a/lib/cell/pace.c
+++ b/lib/cell/pace.c
@@ -18,9 +18,8 @@
 #define LOW_PERCENT 60
 /* A tail has to stay low for so long before a step up, in ms. */
 #define CALM_MS 1500
-/* Percent that a step up adds, and the most. */
+/* Percent that a step up adds. */
 #define STEP_PERCENT 10
-#define FULL_PERCENT 100
 /* A pace below this does not pay for the memory that is held, in percent. */
 #define LEAST_PERCENT 10
 /* Figures cover the last half second, so looks are that far apart, in ms. */
@@ -94,7 +93,7 @@
 					       .task = run->task,
 					       .minion = m->info.id,
 					       .run = run->run,
-					       .age_ms = tail,
+					       .input = tail,
 					       .value = percent });
 	send_pace(cell, m, run, now_ms);
 }
@@ -106,15 +105,15 @@
 
 	/* An earlier term has set it: nothing but the order itself tells. */
 	if (run->pace == CELL_PACE_UNKNOWN)
-		return tail >= LOW_PERCENT ? 0 : FULL_PERCENT;
+		return tail >= LOW_PERCENT ? 0 : CELL_PACE_FULL;
 	if (tail >= 100)
 		return 0;
 	if (tail >= HIGH_PERCENT)
 		return half < LEAST_PERCENT ? 0 : half;
 	if (!calm)
 		return run->pace;
-	return run->pace + STEP_PERCENT > FULL_PERCENT
-		       ? FULL_PERCENT
+	return run->pace + STEP_PERCENT > CELL_PACE_FULL
+		       ? CELL_PACE_FULL
 		       : run->pace + STEP_PERCENT;
 }
 
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -6,8 +6,6 @@
 
 /* A ticket has to be valid at the minion when the start arrives. */
 #define TICKET_MARGIN_MS 60
-/* The speed of a run when it begins, in percent. */
-#define PACE_FULL 100
 
 /* Ranks of minions that have room; the sum of what applies. */
 #define RANK_DISTURBS 1
@@ -206,7 +204,7 @@
 	if (job->state == CELL_JOB_QUEUED)
 		job->state = CELL_JOB_RUNNING;
 	placed = cell_run_add(m, start.task, run, step->spec, &held, now_ms);
-	placed->pace = PACE_FULL;
+	placed->pace = CELL_PACE_FULL;
 	placed->pace_acked = true;
 	start.deadline_ms = cell_minion_deadline(cell, m, now_ms);
 	cell->stats.starts++;
@@ -419,7 +417,6 @@
 	}
 	cell->ready_count = kept;
 	qsort(orders, n, sizeof(*orders), by_urgency);
-	cell_note_load(cell);
 	for (uint32_t i = 0; i < n; i++)
 		schedule_step(cell, &orders[i], candidates, now_ms);
 	free(orders);
--- a/lib/cell/yield.c
+++ b/lib/cell/yield.c
@@ -9,6 +9,9 @@
  * the work are gangs of 20 tasks that may run on a quarter of the minions, and
  * the rest is short or has time.
  */
+#include <stdio.h>
+#include <string.h>
+
 #include "cell/cell_int.h"
 
 /*
@@ -26,9 +29,7 @@
 
 static void want(struct cell_minion *m, uint32_t priority, uint64_t now_ms)
 {
-	bool fresh = cell_minion_wanted(m, now_ms);
-
-	if (!fresh || priority < m->wanted_priority)
+	if (!cell_minion_wanted(m, now_ms) || priority < m->wanted_priority)
 		m->wanted_priority = priority;
 	m->wanted_ms = now_ms;
 }
@@ -64,6 +65,32 @@
 	return lacking;
 }
 
+/*
+ * Returns true if most processors of a service are in use. All gangs of a pass
+ * ask at the same time, so the latest answer is kept.
+ */
+static bool is_busy(struct cell *cell, const char *service, uint64_t now_ms)
+{
+	uint64_t used = 0;
+	uint64_t total = 0;
+
+	if (cell->load_ms == now_ms && !strcmp(cell->load_service, service))
+		return cell->load_busy;
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		const struct cell_minion *m = cell->minions[i];
+
+		if (!m->used || !m->listed ||
+		    strcmp(m->info.service, service) != 0)
+			continue;
+		used += m->held.cpu_milli;
+		total += m->info.capacity.cpu_milli;
+	}
+	snprintf(cell->load_service, sizeof(cell->load_service), "%s", service);
+	cell->load_ms = now_ms;
+	cell->load_busy = used * 100 > total * BUSY_PERCENT;
+	return cell->load_busy;
+}
+
 /*
  * Notes that a gang waits for room. Where tickets are needed it can use the
  * minions that have been granted, otherwise any that suits.
@@ -71,6 +98,8 @@
 void cell_gang_waits(struct cell *cell, const struct cell_step *step,
 		     const struct cell_queue_spec *queue, uint64_t now_ms)
 {
+	if (!is_busy(cell, queue->service, now_ms))
+		return;
 	if (!queue->advice.needed) {
 		uint32_t lacking =
 			want_any(cell, step, queue, true, step->left, now_ms);
@@ -99,25 +128,7 @@
 {
 	uint64_t ends_ms = cell->unix_ms + step->spec->estimate_ms;
 
-	return cell->busy && !step->spec->long_running &&
-	       cell_minion_wanted(m, now_ms) &&
+	return !step->spec->long_running && cell_minion_wanted(m, now_ms) &&
 	       queue->priority > m->wanted_priority &&
 	       ends_ms + SLACK_MS < step->job->deadline_unix_ms;
 }
-
-/* Notes whether most processors are in use; called before each pass. */
-void cell_note_load(struct cell *cell)
-{
-	uint64_t used = 0;
-	uint64_t total = 0;
-
-	for (uint32_t i = 0; i < cell->minion_count; i++) {
-		const struct cell_minion *m = cell->minions[i];
-
-		if (!m->used || !m->listed)
-			continue;
-		used += m->held.cpu_milli;
-		total += m->info.capacity.cpu_milli;
-	}
-	cell->busy = used * 100 > total * BUSY_PERCENT;
-}
