Confirm the cancel of a job that has ended only when the end is durable

The store was away when the last task of a job ended. A cancel was answered at once, as the job had ended, but only in the memory of the holder. It was killed, and its successor started a task 3.9 s after the answer.

Change: such a cancel is answered when the records issued so far are durable.

Ruled out: recording the cancel as well, since the end before it decides.

The case of cell_test fails before.

--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -431,7 +431,9 @@
 
 /*
  * Cancels a job. Returns the sequence number whose durability confirms it, 0 if
- * nothing has to be awaited, and UINT64_MAX if the job is unknown.
+ * nothing has to be awaited, and UINT64_MAX if the job is unknown. A job whose
+ * end is decided but not durable would go on under a successor, so the cancel
+ * is confirmed only with that end.
  */
 uint64_t cell_cancel(struct cell *cell, const char *id, uint64_t now_ms)
 {
@@ -440,10 +442,11 @@
 	if (!job)
 		return UINT64_MAX;
 	if (!job_is_live(job)) {
-		if (job->state == CELL_JOB_CANCELLED ||
-		    job->final != CELL_JOB_CANCELLED)
+		if (job->ended_ms)
 			return 0;
-		return job->cancel_seq;
+		if (job->final == CELL_JOB_CANCELLED)
+			return job->cancel_seq;
+		return cell->durable_seq < cell->next_seq ? cell->next_seq : 0;
 	}
 	decide(cell, job, CELL_JOB_CANCELLED, now_ms);
 	job->unrecorded++;
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -988,3 +988,30 @@
 	f.report(0, "m0", { { "j1.0.0.0", f.starts[0].run, "" } }, {});
 	EXPECT_EQ(cell_pending(f.cell, "q"), 0U);
 }
+
+/*
+ * Guards against a cancel that is confirmed for a job whose end only this
+ * holder knows: its successor would start the task again (rule UNASKED; soak,
+ * seed 108).
+ */
+TEST(Cell, ACancelOfAnEndedJobWaitsUntilTheEndIsDurable)
+{
+	CellFixture f;
+	uint64_t seq;
+
+	f.queue("q", 0, 2);
+	cell_replayed(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, 0, "j1.0.0.0", f.starts[0].run, CELL_OK, f.now);
+	f.report(0, "m0", {},
+		 { { 1, "j1.0.0.0", f.starts[0].run, CELL_END_DONE, "" } });
+	ASSERT_FALSE(f.records.empty());
+	seq = cell_cancel(f.cell, "j1", f.now);
+	EXPECT_EQ(seq, f.records.back());
+	f.durable();
+	EXPECT_EQ(cell_state(f.cell, "j1"), CELL_JOB_COMPLETED);
+	EXPECT_EQ(cell_cancel(f.cell, "j1", f.now), 0U);
+}
