Begin a term once when the watch shows the claim before its answer

The watch of the term and the answer to the claim both began it.

Change: an answer that tells nothing newer than the watch is ignored.

terms_test fails before.

--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -270,6 +270,9 @@
 	t->claim_at_ms = 0;
 	switch (reply->status) {
 	case PF_OK:
+		/* The watch may have told of this claim before its answer. */
+		if (reply->revision <= t->seen)
+			break;
 		t->seen = reply->revision;
 		t->seen_ms = loop_now_ms();
 		t->released = false;
--- /dev/null
+++ b/tests/terms_test.cc
@@ -0,0 +1,194 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "../jaycelld/celld.h"
+}
+
+/* Stand-ins of what decides and shows who holds the cell. */
+namespace
+{
+
+struct Call {
+	pf_done done;
+	void *ctx;
+};
+
+std::vector<Call> ranges;
+std::vector<Call> watches;
+std::vector<Call> commits;
+std::string claimed; /* value of the latest claim */
+std::vector<uint64_t> began;
+struct cell_config config;
+/* What lives as long as the process, as in the daemon. */
+std::vector<void *> &kept = *new std::vector<void *>;
+
+} // namespace
+
+extern "C" {
+
+void pf_get(struct pf_store *, const char *, uint32_t, pf_done, void *)
+{
+}
+
+void pf_range(struct pf_store *, const char *, const char *, uint32_t,
+	      pf_done done, void *ctx)
+{
+	ranges.push_back({ done, ctx });
+}
+
+void pf_watch(struct pf_store *, const char *, uint64_t, uint32_t, pf_done done,
+	      void *ctx)
+{
+	watches.push_back({ done, ctx });
+}
+
+void pf_commit(struct pf_store *, const struct pf_txn *txn, uint32_t,
+	       pf_done done, void *ctx)
+{
+	claimed.assign(static_cast<const char *>(txn->puts[0].value),
+		       txn->puts[0].len);
+	commits.push_back({ done, ctx });
+}
+
+void pf_lease(struct pf_store *, uint32_t, uint32_t, pf_done, void *)
+{
+}
+
+void pf_keep(struct pf_store *, uint64_t, uint32_t, pf_done, void *)
+{
+}
+
+uint64_t pf_store_ok_ms(const struct pf_store *)
+{
+	return loop_now_ms();
+}
+
+const struct cell_config *config_current(const struct config_watch *)
+{
+	return &config;
+}
+
+void cd_start_term(struct celld *, uint64_t token)
+{
+	began.push_back(token);
+}
+
+void cd_end_term(struct celld *)
+{
+}
+
+void asks_holder_changed(struct asks *)
+{
+}
+
+void links_follow(struct links *, const char *)
+{
+}
+
+void links_moved(struct links *, uint64_t, const char *)
+{
+}
+
+void links_release(struct links *)
+{
+}
+
+bool links_up(const struct links *)
+{
+	return false;
+}
+
+bool links_refused(const struct links *)
+{
+	return false;
+}
+
+bool links_holder_valid(const struct links *)
+{
+	return false;
+}
+
+uint32_t links_holder_store_age(const struct links *)
+{
+	return 0;
+}
+
+uint64_t links_heard_ms(const struct links *)
+{
+	return 0;
+}
+
+uint32_t links_followers(const struct links *)
+{
+	return 0;
+}
+
+bool links_store_unreachable(const struct links *, uint64_t)
+{
+	return false;
+}
+
+bool links_store_seen(const struct links *, uint64_t, uint64_t, uint64_t *)
+{
+	return false;
+}
+
+} /* extern "C" */
+
+namespace
+{
+
+void answer(const Call &call, uint64_t revision, const std::string &value)
+{
+	struct pf_item item = {};
+	struct pf_reply reply = {};
+
+	item.key = CD_HOLDER_KEY;
+	item.value = value.c_str();
+	item.value_len = value.size();
+	item.revision = revision;
+	reply.status = PF_OK;
+	reply.revision = revision;
+	reply.read_revision = revision;
+	reply.count = value.empty() ? 0 : 1;
+	reply.items = &item;
+	call.done(call.ctx, &reply);
+}
+
+} // namespace
+
+/*
+ * Guards against two schedulers of one term: the watch may show a claim before
+ * the claim itself is answered, and the second one would number its runs and
+ * its journal batches like the first.
+ */
+TEST(Terms, AClaimThatTheWatchShowsFirstBeginsOneTerm)
+{
+	static struct celld d;
+	struct terms *terms;
+	uint64_t now;
+
+	d.loop = loop_new();
+	snprintf(d.conf.name, sizeof(d.conf.name), "d1");
+	snprintf(d.conf.peers_address, sizeof(d.conf.peers_address),
+		 "127.0.0.1:1");
+	d.conf.cpu_share = 1;
+	terms = terms_new(&d);
+	kept.push_back(d.loop);
+	kept.push_back(terms);
+	ASSERT_EQ(ranges.size(), 1U);
+	answer(ranges[0], 5, "");
+	now = loop_now_ms();
+	terms_tick(terms, now);
+	terms_tick(terms, now + 1000);
+	ASSERT_EQ(commits.size(), 1U);
+	ASSERT_EQ(watches.size(), 1U);
+	answer(watches[0], 7, claimed);
+	EXPECT_EQ(began, (std::vector<uint64_t>{ 7 }));
+	answer(commits[0], 7, "");
+	EXPECT_EQ(began, (std::vector<uint64_t>{ 7 }));
+	EXPECT_EQ(terms_token(terms), 7U);
+}
