--- a/fakes/platform_minion.c
+++ b/fakes/platform_minion.c
@@ -771,11 +771,12 @@
 
 	for (const struct tally *t = p->tallies; t; t = t->hh.next) {
 		json_object_set_new(starts, t->task, json_integer(t->starts));
-		/* Starts, good ends, failures, time of the latest order. */
+		/* Starts, good ends, failures, latest order, runs. */
 		json_object_set_new(tasks, t->task,
-				    json_pack("[i,i,i,I]", (int)t->starts,
+				    json_pack("[i,i,i,I,i]", (int)t->starts,
 					      (int)t->done, (int)t->failed,
-					      (json_int_t)t->ordered_ms));
+					      (json_int_t)t->ordered_ms,
+					      (int)t->running));
 		done += t->done > 0;
 	}
 	for (uint32_t i = 0; i < p->count; i++)
