--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -462,16 +462,14 @@
 						    job->cancelled_unix_ms));
 }
 
-/* Returns the job of a task, or NULL if nobody has submitted it. */
-static const struct job *job_of(const struct callers *c, const char *task)
+/* Finds the job of a task; returns false if nobody has submitted it. */
+static bool find_job(const struct callers *c, const char *task,
+		     unsigned int *number)
 {
-	unsigned int number;
 	unsigned int seed;
 
-	if (sscanf(task, "%8x%8x.", &seed, &number) != 2 ||
-	    seed != (uint32_t)c->s->options.seed || number >= c->count)
-		return NULL;
-	return &c->jobs[number];
+	return sscanf(task, "%8x%8x.", &seed, number) == 2 &&
+	       seed == (uint32_t)c->s->options.seed && *number < c->count;
 }
 
 /*
@@ -496,15 +494,15 @@
 			       json_string_value(json_array_get(faults, i)));
 	json_object_foreach(tasks, task, row)
 	{
-		const struct job *job = job_of(c, task);
+		unsigned int number;
 
-		if (!job) {
+		if (!find_job(c, task, &number)) {
 			soak_violation(c->s, "task %s of no job was started",
 				       task);
 			continue;
 		}
 		/* Nobody has waited for the end of a job that may be stored. */
-		if (job->phase != JOB_UNSURE &&
+		if (c->jobs[number].phase != JOB_UNSURE &&
 		    json_integer_value(json_array_get(row, 4)))
 			soak_violation(c->s,
 				       "task %s runs, and its job has ended",
