Bound the cost of a scheduling pass over a backlog

Each waiting step sorted all minions to choose those of an advice request, compared all pairs of lanes to choose one, and did so again in each pass even if all lanes were busy.

Change: candidates are drawn at random from two groups instead of sorted; lanes are ranked when one has changed; decisions on a minion are looked up by its handle; a pass prepares at most 12 requests, and passes are spaced by the number of ready steps.

--- a/common/httpc.c
+++ b/common/httpc.c
@@ -7,6 +7,7 @@
 
 #include <h2o/http1client.h>
 #include <h2o/socketpool.h>
+#include <uthash.h>
 
 #include "addr.h"
 
@@ -33,9 +34,10 @@
 struct pool {
 	h2o_socketpool_t sockets;
 	char addr[HTTPC_ADDR_MAX];
-	uint32_t users; /* exchanges in progress */
-	bool retired;	/* freed when its last exchange ends */
-	struct pool *next;
+	uint32_t users;	   /* exchanges in progress */
+	bool retired;	   /* freed when its last exchange ends */
+	struct pool *next; /* in the list of retired pools */
+	UT_hash_handle hh;
 };
 
 struct exchange {
@@ -62,7 +64,8 @@
 	h2o_http1client_ctx_t h2o;
 	h2o_timeout_t io_timeout;
 	h2o_multithread_receiver_t receiver;
-	struct pool *pools;
+	struct pool *pools; /* by address; retired pools are not in it */
+	struct pool *retired;
 	struct exchange **slots; /* exchanges never move; slots are reused */
 	uint32_t slot_count;
 	uint32_t *free_slots;
@@ -106,10 +109,9 @@
 	struct pool *pool;
 	struct sockaddr_in sin;
 
-	for (pool = client->pools; pool; pool = pool->next) {
-		if (!pool->retired && !strcmp(pool->addr, addr))
-			return pool;
-	}
+	HASH_FIND_STR(client->pools, addr, pool);
+	if (pool)
+		return pool;
 	if (!addr_parse(addr, &sin) || !sin.sin_port)
 		return NULL;
 	pool = xcalloc(1, sizeof(*pool));
@@ -118,20 +120,19 @@
 				       sizeof(sin), 0, HTTPC_POOL_CAPACITY);
 	h2o_socketpool_set_timeout(&pool->sockets, client->h2o.loop,
 				   HTTPC_POOL_IDLE_MS);
-	pool->next = client->pools;
-	client->pools = pool;
+	HASH_ADD_STR(client->pools, addr, pool);
 	return pool;
 }
 
 static void on_release_timer(struct timer *timer)
 {
 	struct httpc *client = timer->ctx;
-	struct pool **link = &client->pools;
+	struct pool **link = &client->retired;
 
 	while (*link) {
 		struct pool *pool = *link;
 
-		if (!pool->retired || pool->users) {
+		if (pool->users) {
 			link = &pool->next;
 			continue;
 		}
@@ -158,17 +159,16 @@
  */
 void httpc_close_idle(struct httpc *client, const char *addr)
 {
-	struct pool *pool = client->pools;
-
-	while (pool) {
-		struct pool *next = pool->next;
+	struct pool *pool;
 
-		if (!pool->retired && !strcmp(pool->addr, addr)) {
-			pool->retired = true;
-			pool_dispose_if_unused(client, pool);
-		}
-		pool = next;
-	}
+	HASH_FIND_STR(client->pools, addr, pool);
+	if (!pool)
+		return;
+	HASH_DEL(client->pools, pool);
+	pool->retired = true;
+	pool->next = client->retired;
+	client->retired = pool;
+	pool_dispose_if_unused(client, pool);
 }
 
 static struct exchange *exchange_new(struct httpc *client)
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -110,8 +110,9 @@
 	return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
 }
 
-static void send_state(struct links *l, struct link *link, bool released,
-		       uint64_t now)
+/* Sends a state frame; @valid is that of the term of this daemon, if any. */
+static void send_state(struct links *l, struct link *link, bool valid,
+		       bool released, uint64_t now)
 {
 	struct buf body = { 0 };
 	msgpack_packer pk;
@@ -120,7 +121,7 @@
 	msgpack_pack_array(&pk, 5);
 	msgpack_pack_uint64(&pk, terms_token(l->d->terms));
 	msgpack_pack_uint64(&pk, terms_latest(l->d->terms));
-	msgpack_pack_uint32(&pk, terms_valid(l->d->terms, now));
+	msgpack_pack_uint32(&pk, valid);
 	msgpack_pack_uint32(&pk, store_age(l, now));
 	msgpack_pack_uint32(&pk, released);
 	send_body(link, FRAME_STATE, &body);
@@ -632,7 +633,8 @@
 	else
 		add_follower(l, link);
 	if (link->state == LINK_UP)
-		send_state(l, link, false, loop_now_ms());
+		send_state(l, link, terms_valid(l->d->terms, loop_now_ms()),
+			   false, loop_now_ms());
 }
 
 static void on_down(struct link *link, const char *reason)
@@ -712,10 +714,12 @@
 /* Announces to the followers that the holder releases its term. */
 void links_send_release(struct links *l)
 {
+	uint64_t now = loop_now_ms();
+	bool valid = terms_valid(l->d->terms, now);
+
 	for (uint32_t i = 0; i < l->follower_count; i++) {
 		if (l->followers[i].link)
-			send_state(l, l->followers[i].link, true,
-				   loop_now_ms());
+			send_state(l, l->followers[i].link, valid, true, now);
 	}
 }
 
@@ -733,6 +737,7 @@
 void links_tick(struct links *l, uint64_t now_ms)
 {
 	struct link *h = l->holder;
+	bool valid;
 
 	if (h && terms_token(l->d->terms)) {
 		snprintf(l->holder_addr, sizeof(l->holder_addr), "%s",
@@ -757,11 +762,13 @@
 	if (now_ms < l->state_ms)
 		return;
 	l->state_ms = now_ms + STATE_INTERVAL_MS;
+	valid = terms_valid(l->d->terms, now_ms);
 	if (l->holder && l->holder->state == LINK_UP)
-		send_state(l, l->holder, false, now_ms);
+		send_state(l, l->holder, valid, false, now_ms);
 	for (uint32_t i = 0; i < l->follower_count; i++) {
 		if (l->followers[i].link)
-			send_state(l, l->followers[i].link, false, now_ms);
+			send_state(l, l->followers[i].link, valid, false,
+				   now_ms);
 	}
 }
 
--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -32,6 +32,8 @@
 #define RENEW_MS 200
 /* Subtracted from the validity of a ticket for the response latency, in ms. */
 #define RESPONSE_LATENCY_MS 40
+/* Requests that one scheduling pass prepares at most. */
+#define REQUESTS_PER_PASS 12
 /* Delay until the next attempt when all lanes are busy, in ms. */
 #define LANE_RETRY_MS 15
 /* Low bits of a rack key, which order the minions within a rack. */
@@ -78,66 +80,65 @@
 }
 
 /* Returns true if the service has decided on this incarnation of the minion. */
-static bool has_decision(struct cell_step *step, const struct cell_minion *m)
+static bool has_decision(const struct cell_step *step,
+			 const struct cell_minion *m)
 {
-	const struct cell_grant *g = cell_grant_find(step, m->handle);
-
-	if (m->handle < step->refused_size &&
-	    step->refused[m->handle] == m->incarnation)
-		return true;
-	return g && g->incarnation == m->incarnation;
+	return m->handle < step->decided_size &&
+	       step->decided[m->handle] == m->incarnation;
 }
 
-static void set_refused(struct cell_step *step, const struct cell_minion *m,
+static void set_decided(struct cell_step *step, const struct cell_minion *m,
 			uint32_t minion_count)
 {
-	if (m->handle >= step->refused_size) {
-		step->refused = realloc(step->refused,
-					minion_count * sizeof(*step->refused));
-		if (!step->refused)
+	if (m->handle >= step->decided_size) {
+		step->decided = realloc(step->decided,
+					minion_count * sizeof(*step->decided));
+		if (!step->decided)
 			abort();
-		memset(step->refused + step->refused_size, 0,
-		       (minion_count - step->refused_size) *
-			       sizeof(*step->refused));
-		step->refused_size = minion_count;
+		memset(step->decided + step->decided_size, 0,
+		       (minion_count - step->decided_size) *
+			       sizeof(*step->decided));
+		step->decided_size = minion_count;
 	}
-	step->refused[m->handle] = m->incarnation;
+	step->decided[m->handle] = m->incarnation;
 }
 
 struct advice_candidate {
 	uint32_t minion;
 	uint32_t fit;
-	uint32_t shuffle;
+	uint32_t key; /* order of a step whose tasks should share a rack */
 };
 
-static int compare_candidates(const void *a, const void *b)
+static int compare_keys(const void *a, const void *b)
 {
 	const struct advice_candidate *x = a;
 	const struct advice_candidate *y = b;
-	bool x_fits = x->fit > 0;
-	bool y_fits = y->fit > 0;
 
-	if (x_fits != y_fits)
-		return x_fits ? -1 : 1;
-	if (x->shuffle != y->shuffle)
-		return x->shuffle < y->shuffle ? -1 : 1;
+	if (x->key != y->key)
+		return x->key < y->key ? -1 : 1;
 	return x->minion < y->minion ? -1 : 1;
 }
 
-/*
- * Makes concurrent requests name different minions. If all named those with the
- * most free resources, the first step would leave none for the others.
- */
-static uint32_t shuffle_key(const struct cell *cell, uint32_t minion)
+/* Returns a number that differs for each request and each @draw. */
+static uint32_t draw_number(const struct cell *cell, uint32_t draw)
 {
 	uint64_t h = (cell->stats.questions + 1) * 0x9E3779B97F4A7C15ULL;
 
-	h ^= (minion + 1) * 0xC2B2AE3D27D4EB4FULL;
+	h ^= (draw + 1) * 0xC2B2AE3D27D4EB4FULL;
 	h ^= h >> 29;
 	h *= 0xBF58476D1CE4E5B9ULL;
 	return (uint32_t)(h >> 32);
 }
 
+static void swap_candidates(struct advice_candidate *a,
+			    struct advice_candidate *b)
+{
+	struct advice_candidate c = *a;
+
+	*a = *b;
+	*b = c;
+}
+
 /*
  * Orders minions by rack for a step whose tasks should share one: tickets that
  * are spread over all racks would seldom suffice in any of them.
@@ -149,7 +150,7 @@
 	for (const char *p = m->info.rack; *p; p++)
 		h = (h ^ (unsigned char)*p) * 0x100000001B3ULL;
 	return (uint32_t)(h >> 32) << RACK_SHIFT |
-	       shuffle_key(cell, m->handle) >> (32 - RACK_SHIFT);
+	       draw_number(cell, m->handle) >> (32 - RACK_SHIFT);
 }
 
 static bool capacity_suffices(const struct cell_minion *m,
@@ -179,22 +180,15 @@
 }
 
 /*
- * Selects the minions of a request: first those with free resources whose
- * ticket is about to expire, then those without a decision, with free resources
- * first, until the expected number of slots suffices.
+ * Adds the minions that have tickets about to expire, and free resources.
+ * Returns their number; *@expected_slots becomes the slots of all tickets.
  */
-static uint32_t select_minions(struct cell *cell, struct cell_step *step,
-			       const struct cell_queue_spec *queue,
-			       struct advice_candidate *out, uint64_t now_ms)
+static uint32_t select_renewals(struct cell *cell, struct cell_step *step,
+				const struct cell_queue_spec *queue,
+				struct advice_candidate *out,
+				double *expected_slots, uint64_t now_ms)
 {
-	double share = accept_rate_value(accept_rate_get(cell, queue->name));
-	double needed =
-		cell_step_unstarted(step) * SPARE_FACTOR + SPARE_MINIONS;
-	double expected_slots = 0;
-	uint32_t low_cost = low_cost_count(&queue->advice);
 	uint32_t n = 0;
-	uint32_t unknown = 0;
-	uint32_t kept;
 
 	for (uint32_t i = 0; i < step->grant_count; i++) {
 		const struct cell_grant *g = &step->grants[i];
@@ -205,37 +199,87 @@
 		    !cell_minion_suits(cell, m, step, queue, now_ms))
 			continue;
 		fit = cell_fit(m, step);
-		expected_slots += fit;
+		*expected_slots += fit;
 		if (g->until_ms < now_ms + RENEW_MS && fit &&
 		    n < CELL_ADVICE_MINIONS_MAX)
 			out[n++] =
 				(struct advice_candidate){ .minion = g->minion,
 							   .fit = fit };
 	}
-	kept = n;
+	return n;
+}
+
+/*
+ * Adds the minions without a decision, those with free resources first. Returns
+ * their number; *@with_room becomes that of the minions with free resources.
+ */
+static uint32_t select_undecided(struct cell *cell, struct cell_step *step,
+				 const struct cell_queue_spec *queue,
+				 struct advice_candidate *out,
+				 uint32_t *with_room, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	*with_room = 0;
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		struct cell_minion *m = cell->minions[i];
+
+		if (has_decision(step, m) ||
+		    !cell_minion_suits(cell, m, step, queue, now_ms) ||
+		    !capacity_suffices(m, step))
+			continue;
+		out[n] = (struct advice_candidate){ .minion = i,
+						    .fit = cell_fit(m, step) };
+		if (step->spec->same_rack)
+			out[n].key = rack_key(cell, m);
+		if (out[n].fit)
+			swap_candidates(&out[n], &out[(*with_room)++]);
+		n++;
+	}
+	if (step->spec->same_rack) {
+		qsort(out, *with_room, sizeof(*out), compare_keys);
+		qsort(out + *with_room, n - *with_room, sizeof(*out),
+		      compare_keys);
+	}
+	return n;
+}
+
+/*
+ * Selects the minions of a request: first those with free resources whose
+ * ticket is about to expire, then those without a decision, with free resources
+ * first, until the expected number of slots suffices. Concurrent requests draw
+ * different minions: if all named those with the most free resources, the first
+ * step would leave none for the others.
+ */
+static uint32_t select_minions(struct cell *cell, struct cell_step *step,
+			       const struct cell_queue_spec *queue,
+			       struct advice_candidate *out, uint64_t now_ms)
+{
+	double share = accept_rate_value(accept_rate_get(cell, queue->name));
+	double needed =
+		cell_step_unstarted(step) * SPARE_FACTOR + SPARE_MINIONS;
+	double expected_slots = 0;
+	uint32_t low_cost = low_cost_count(&queue->advice);
+	uint32_t kept = select_renewals(cell, step, queue, out, &expected_slots,
+					now_ms);
+	uint32_t room_end = kept;
+	uint32_t n = kept;
+
 	if (expected_slots < needed) {
-		for (uint32_t i = 0; i < cell->minion_count; i++) {
-			struct cell_minion *m = cell->minions[i];
-
-			if (has_decision(step, m) ||
-			    !cell_minion_suits(cell, m, step, queue, now_ms) ||
-			    !capacity_suffices(m, step))
-				continue;
-			out[n++] = (struct advice_candidate){
-				.minion = i,
-				.fit = cell_fit(m, step),
-				.shuffle = step->spec->same_rack
-						   ? rack_key(cell, m)
-						   : shuffle_key(cell, i),
-			};
-			unknown++;
-		}
-		qsort(out + kept, unknown, sizeof(*out), compare_candidates);
+		n += select_undecided(cell, step, queue, out + kept, &room_end,
+				      now_ms);
+		room_end += kept;
 	}
 	for (uint32_t i = kept; i < n; i++) {
+		uint32_t end = i < room_end ? room_end : n;
+
 		if (i >= CELL_ADVICE_MINIONS_MAX ||
 		    (expected_slots >= needed && i >= low_cost))
 			return i;
+		if (!step->spec->same_rack)
+			swap_candidates(
+				&out[i],
+				&out[i + draw_number(cell, i) % (end - i)]);
 		expected_slots += share * (out[i].fit ? out[i].fit : 0.3);
 	}
 	return n;
@@ -253,21 +297,36 @@
 					       : 0;
 }
 
-/* Returns how many lanes have a lower latency than this one. */
-static uint32_t lane_rank(const struct cell *cell, uint32_t lane)
+static int compare_latency(const void *a, const void *b)
 {
-	double latency = cell->lanes[lane].latency_ms;
-	uint32_t rank = 0;
+	const struct cell_lane *x = *(const struct cell_lane *const *)a;
+	const struct cell_lane *y = *(const struct cell_lane *const *)b;
 
-	for (uint32_t i = 0; i < cell->lane_count; i++) {
-		const struct cell_lane *other = &cell->lanes[i];
+	if (x->latency_ms != y->latency_ms)
+		return x->latency_ms < y->latency_ms ? -1 : 1;
+	return x < y ? -1 : 1;
+}
 
-		if (!other->up || i == lane)
-			continue;
-		rank += other->latency_ms < latency ||
-			(other->latency_ms == latency && i < lane);
+/* Ranks the lanes that are up by latency, if any has changed since. */
+static void update_lane_ranks(struct cell *cell)
+{
+	struct cell_lane **up;
+
+	if (cell->lanes_ranked)
+		return;
+	up = malloc((cell->lane_count + 1) * sizeof(struct cell_lane *));
+	if (!up)
+		abort();
+	cell->lanes_up = 0;
+	for (uint32_t i = 0; i < cell->lane_count; i++) {
+		if (cell->lanes[i].up)
+			up[cell->lanes_up++] = &cell->lanes[i];
 	}
-	return rank;
+	qsort(up, cell->lanes_up, sizeof(*up), compare_latency);
+	for (uint32_t i = 0; i < cell->lanes_up; i++)
+		up[i]->rank = i;
+	free(up);
+	cell->lanes_ranked = true;
 }
 
 /* Returns true if a request of that cost may use the lane of that rank. */
@@ -289,22 +348,20 @@
  * Returns the lane with the earliest expected response, or CELL_NONE if all are
  * backlogged. The lanes with the lowest latency serve cheap requests.
  */
-static uint32_t select_lane(const struct cell *cell, uint32_t cost_ms,
+static uint32_t select_lane(struct cell *cell, uint32_t cost_ms,
 			    uint64_t now_ms)
 {
-	uint32_t up = 0;
 	uint32_t best = CELL_NONE;
 	double best_wait = BACKLOG_MAX_MS;
 
-	for (uint32_t i = 0; i < cell->lane_count; i++)
-		up += cell->lanes[i].up;
+	update_lane_ranks(cell);
 	for (uint32_t i = 0; i < cell->lane_count; i++) {
 		const struct cell_lane *lane = &cell->lanes[i];
 		double wait = (double)lane_backlog_ms(lane, now_ms) +
 			      lane->latency_ms;
 
 		if (lane->up && wait < best_wait &&
-		    lane_accepts(lane_rank(cell, i), up, cost_ms)) {
+		    lane_accepts(lane->rank, cell->lanes_up, cost_ms)) {
 			best = i;
 			best_wait = wait;
 		}
@@ -355,11 +412,14 @@
 	struct cell_task_name name;
 
 	if (step->advice_in_flight || now_ms < step->advice_after_ms ||
-	    !cell->lane_count)
+	    !cell->lane_count || cell->pass_requests >= REQUESTS_PER_PASS)
 		return false;
 	if (select_lane(cell, (uint32_t)queue->advice.decide_ms, now_ms) ==
-	    CELL_NONE)
+	    CELL_NONE) {
+		step->advice_after_ms = now_ms + LANE_RETRY_MS;
 		return false;
+	}
+	cell->pass_requests++;
 	candidates = malloc((cell->minion_count + CELL_ADVICE_MINIONS_MAX) *
 			    sizeof(*candidates));
 	if (!candidates)
@@ -454,6 +514,7 @@
 	if (q->lane >= cell->lane_count)
 		return;
 	lane = &cell->lanes[q->lane];
+	cell->lanes_ranked = false;
 	if (q->due_ms && now_ms >= q->sent_ms)
 		lane->latency_ms +=
 			LATENCY_WEIGHT *
@@ -520,8 +581,7 @@
 			grant(cell, step, m, ticket,
 			      now_ms + queue->advice.valid_ms -
 				      RESPONSE_LATENCY_MS);
-		else
-			set_refused(step, cell->minions[m], cell->minion_count);
+		set_decided(step, cell->minions[m], cell->minion_count);
 		granted += ticket != NULL;
 		rate->asked++;
 		rate->accepted += ticket != NULL;
@@ -549,6 +609,7 @@
 		cell->lane_count = lane + 1;
 	}
 	cell->lanes[lane] = (struct cell_lane){ .up = true };
+	cell->lanes_ranked = false;
 	cell->dirty = true;
 }
 
@@ -568,6 +629,7 @@
 	}
 	if (lane < cell->lane_count)
 		cell->lanes[lane] = (struct cell_lane){ 0 };
+	cell->lanes_ranked = false;
 	cell->dirty = true;
 }
 
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -13,11 +13,13 @@
 /* Interval between two purges of ended jobs, in ms. */
 #define PURGE_INTERVAL_MS 5000
 /*
- * With more ready steps than this, passes are at least BUSY_PASS_INTERVAL_MS
- * apart.
+ * A pass walks all ready steps. While there are more than BUSY_READY_STEPS,
+ * passes are BUSY_PASS_INTERVAL_MS apart, and longer in proportion to the
+ * number of steps, so that a backlog does not take all of the processor.
  */
 #define BUSY_READY_STEPS 12
 #define BUSY_PASS_INTERVAL_MS 6
+#define READY_STEPS_PER_PASS_MS 12
 /* Tickets expire without an event, so passes are at most this many ms apart. */
 #define PASS_INTERVAL_MAX_MS 50
 
@@ -104,6 +106,19 @@
 	cell->valid = valid;
 }
 
+/* Returns the minimum time between two passes, in ms. */
+static uint64_t pass_interval_ms(const struct cell *cell)
+{
+	uint64_t interval = cell->ready_count / READY_STEPS_PER_PASS_MS;
+
+	if (!cell->dirty || interval > PASS_INTERVAL_MAX_MS)
+		return PASS_INTERVAL_MAX_MS;
+	if (cell->ready_count <= BUSY_READY_STEPS)
+		return 0;
+	return interval > BUSY_PASS_INTERVAL_MS ? interval
+						: BUSY_PASS_INTERVAL_MS;
+}
+
 /* Runs due timers, and a scheduling pass if the state has changed. */
 void cell_tick(struct cell *cell, uint64_t unix_ms, uint64_t now_ms)
 {
@@ -116,11 +131,7 @@
 		cell->next_purge_ms = now_ms + PURGE_INTERVAL_MS;
 		cell_jobs_purge(cell, now_ms);
 	}
-	if (now_ms >=
-	    cell->last_pass_ms + (!cell->dirty ? PASS_INTERVAL_MAX_MS
-				  : cell->ready_count > BUSY_READY_STEPS
-					  ? BUSY_PASS_INTERVAL_MS
-					  : 0)) {
+	if (now_ms >= cell->last_pass_ms + pass_interval_ms(cell)) {
 		cell->last_pass_ms = now_ms;
 		cell_schedule(cell, now_ms);
 	}
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -58,8 +58,9 @@
 	uint32_t advice_requests_sent;
 	uint32_t grant_count;
 	struct cell_grant *grants;
-	uint32_t *refused; /* by minion: incarnation that may not run it */
-	uint32_t refused_size;
+	/* By minion: the incarnation that the advice service decided on. */
+	uint32_t *decided;
+	uint32_t decided_size;
 	struct cell_task *tasks;
 };
 
@@ -147,6 +148,7 @@
 	struct cell_run *runs;
 	/* Tasks of the step being placed that still fit. */
 	uint32_t free_slots;
+	UT_hash_handle hh; /* by id */
 };
 
 /* Index entry: a queue of the configuration by name. */
@@ -168,6 +170,7 @@
 /* A connection to the advice service, by way of one daemon. */
 struct cell_lane {
 	bool up;
+	uint32_t rank;	   /* among the lanes that are up, by latency */
 	double latency_ms; /* response delay beyond the backlog */
 	uint64_t backlog_until_ms;
 	uint32_t in_flight;
@@ -211,7 +214,10 @@
 	uint32_t live_jobs;
 	uint32_t recurring_jobs;
 	struct cell_minion **minions;
+	struct cell_minion *minion_index; /* by id */
 	uint32_t minion_count;
+	uint64_t minions_tick_ms; /* latest tick of the minions */
+	bool minions_due;	  /* the next tick must not wait */
 	uint32_t unsettled;
 	struct cell_step **ready;
 	uint32_t ready_count;
@@ -224,6 +230,9 @@
 	uint64_t durable_seq;
 	struct cell_lane *lanes;
 	uint32_t lane_count;
+	uint32_t lanes_up;
+	uint32_t pass_requests; /* advice requests prepared in this pass */
+	bool lanes_ranked;	/* lanes_up and the ranks are current */
 	struct cell_advice_pending *advice_requests;
 	uint32_t advice_request_count;
 	struct cell_accept_rate *accept_rates;
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -235,7 +235,7 @@
 			free(step->gang_failed);
 			free(step->tasks);
 			free(step->grants);
-			free(step->refused);
+			free(step->decided);
 		}
 		free(job->occurrences[i].steps);
 	}
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -26,6 +26,8 @@
 #define STOP_RETRY_MS 300
 /* A job that is unknown for this long no longer exists, in ms. */
 #define UNKNOWN_JOB_TIMEOUT_MS 5000
+/* Minimum interval between two walks over all minions, in ms. */
+#define MINIONS_TICK_MS 4
 /* Decay of the failure score of a minion at each end of a run. */
 #define FAIL_SCORE_DECAY 0.7
 /* Score of a suspected minion: reached by three failures in a row. */
@@ -48,12 +50,10 @@
 
 static struct cell_minion *minion_find(const struct cell *cell, const char *id)
 {
-	for (uint32_t i = 0; i < cell->minion_count; i++) {
-		if (cell->minions[i]->used &&
-		    !strcmp(cell->minions[i]->info.id, id))
-			return cell->minions[i];
-	}
-	return NULL;
+	struct cell_minion *m;
+
+	HASH_FIND_STR(cell->minion_index, id, m);
+	return m;
 }
 
 static struct cell_minion *minion_new(struct cell *cell, const char *id)
@@ -84,11 +84,14 @@
 				   .incarnation = incarnation,
 				   .used = true };
 	snprintf(m->info.id, sizeof(m->info.id), "%s", id);
+	HASH_ADD_KEYPTR(hh, cell->minion_index, m->info.id, strlen(m->info.id),
+			m);
 	return m;
 }
 
-static void minion_free(struct cell_minion *m)
+static void minion_free(struct cell *cell, struct cell_minion *m)
 {
+	HASH_DEL(cell->minion_index, m);
 	free(m->runs);
 	m->runs = NULL;
 	m->run_count = 0;
@@ -349,7 +352,7 @@
 		return;
 	if (m->inherited)
 		cell->unsettled--;
-	minion_free(m);
+	minion_free(cell, m);
 }
 
 static void decay_fail_score(struct cell_minion *m)
@@ -613,6 +616,7 @@
 		return;
 	m->polls_in_flight -= m->polls_in_flight > 0;
 	m->next_poll_ms = now_ms;
+	cell->minions_due = true;
 	if (m->failing || !m->contacted)
 		m->next_poll_ms +=
 			m->listed ? POLL_RETRY_MS : POLL_RETRY_SLOW_MS;
@@ -736,7 +740,7 @@
 		if (m->enrolled)
 			minion_settle(cell, m, "left", now_ms);
 		if (!m->polls_in_flight) {
-			minion_free(m);
+			minion_free(cell, m);
 			return;
 		}
 	}
@@ -752,6 +756,11 @@
 /* Runs the due polls, stop retries and lease expiries of all minions. */
 void cell_minions_tick(struct cell *cell, uint64_t now_ms)
 {
+	if (!cell->minions_due &&
+	    now_ms < cell->minions_tick_ms + MINIONS_TICK_MS)
+		return;
+	cell->minions_due = false;
+	cell->minions_tick_ms = now_ms;
 	for (uint32_t i = 0; i < cell->minion_count; i++) {
 		if (cell->minions[i]->used)
 			tick_minion(cell, cell->minions[i], now_ms);
@@ -760,6 +769,7 @@
 
 void cell_minions_free(struct cell *cell)
 {
+	HASH_CLEAR(hh, cell->minion_index);
 	for (uint32_t i = 0; i < cell->minion_count; i++) {
 		free(cell->minions[i]->runs);
 		free(cell->minions[i]);
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -401,6 +401,7 @@
 	uint32_t n = 0;
 
 	cell->dirty = false;
+	cell->pass_requests = 0;
 	if (!cell->config || !cell->ready_count || !cell->valid)
 		return;
 	entries = malloc(cell->ready_count * sizeof(*entries));
