Give a recovering holder a longer lease, and let large daemons claim first after boot

Change: the lease is 4 s until the holder has been ready for twice the time of recovery; small daemons wait 0.6 s instead of 0.12 s before they claim within 3 s of their start.

Both tests fail with the former values (RecoveringHolderHasALongerLease, SmallDaemonLetsOthersClaimFirstAfterBoot). The fake store of the test served its latest call at the time of the test, so that a tick one second later depended on the clock.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -179,6 +179,7 @@
 struct holder *holder_new(struct celld *d, uint64_t token);
 void holder_free(struct holder *h);
 bool holder_ready(const struct holder *h);
+bool holder_settled(const struct holder *h, uint64_t now_ms);
 void holder_job(struct holder *h, const char *data, size_t len, bool fresh);
 void holder_query(struct holder *h, const struct cd_origin *origin,
 		  enum cd_op op, const char *text, const struct buf *blob);
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -73,6 +73,16 @@
 	return h->phase == PHASE_READY;
 }
 
+/*
+ * Returns true once the work that recovery leaves behind, such as the first
+ * polls of all minions, has had twice the time of recovery.
+ */
+bool holder_settled(const struct holder *h, uint64_t now_ms)
+{
+	return h->ready_ms &&
+	       now_ms >= h->ready_ms + 2 * (h->ready_ms - h->started_ms);
+}
+
 /*
  * Adds a stored job, encoded by record_pack_job(), to the scheduler. @fresh
  * means that no earlier holder can have seen it.
@@ -105,6 +115,7 @@
 	struct cell_stats stats;
 
 	h->phase = PHASE_READY;
+	h->ready_ms = now;
 	h->cursor[0] = '\0';
 	h->jobs_poll_ms = now + JOBS_POLL_FAST_MS;
 	cell_replay_done(h->cell, now);
--- a/jaycelld/holder_int.h
+++ b/jaycelld/holder_int.h
@@ -47,6 +47,7 @@
 	struct gc *gc;
 	uint64_t token;
 	uint64_t started_ms;
+	uint64_t ready_ms; /* end of recovery, 0: not yet */
 	enum phase phase;
 	/* The term has ended; freed once no call is in flight. */
 	bool closed;
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -16,6 +16,9 @@
 #define READ_RETRY_MS 200
 #define WATCH_WAIT_MS 4000
 #define LEASE_TTL_MS 1000
+/* While the holder recovers, its renewals compete with the reads of its state.
+ */
+#define RECOVERY_LEASE_TTL_MS 4000
 #define LEASE_RENEW_MS 300
 #define CALL_TIMEOUT_MS 500
 /*
@@ -31,6 +34,10 @@
  */
 #define SMALL_CPU_SHARE 0.2
 #define SMALL_DELAY_MS 120
+/* After a loss of all daemons, larger ones may take this much longer to start.
+ */
+#define BOOT_MS 3000
+#define SMALL_BOOT_DELAY_MS 600
 #define FAR_RTT_MS 15
 #define FAR_DELAY_MS 60
 #define CLAIM_JITTER_MS 40
@@ -56,7 +63,9 @@
 	uint64_t confirmed_ms;
 	uint64_t confirm_sent_ms;
 	bool confirming;
+	uint64_t started_ms; /* of this process */
 	uint64_t lease_id;
+	uint32_t lease_ttl_ms; /* as requested for lease_id */
 	bool renewing;
 	uint64_t renew_ms;
 	uint64_t store_rtt_ms; /* of the latest full read */
@@ -336,13 +345,14 @@
 	buf_free(&value);
 }
 
-static uint64_t claim_delay(const struct terms *t)
+static uint64_t claim_delay(const struct terms *t, uint64_t now)
 {
 	unsigned char random = 0;
 	uint64_t delay = 0;
 
 	if (t->d->conf.cpu_share < SMALL_CPU_SHARE)
-		delay += SMALL_DELAY_MS;
+		delay += now < t->started_ms + BOOT_MS ? SMALL_BOOT_DELAY_MS
+						       : SMALL_DELAY_MS;
 	if (t->store_rtt_ms > FAR_RTT_MS)
 		delay += FAR_DELAY_MS;
 	if (RAND_bytes(&random, 1) == 1)
@@ -376,7 +386,7 @@
 		return;
 	}
 	if (!t->claim_due_ms)
-		t->claim_due_ms = now + claim_delay(t);
+		t->claim_due_ms = now + claim_delay(t, now);
 	if (now >= t->claim_due_ms)
 		claim(t, why, now);
 }
@@ -438,15 +448,22 @@
 
 static void maintain_term(struct terms *t, uint64_t now)
 {
+	uint32_t ttl_ms = t->d->holder && holder_settled(t->d->holder, now)
+				  ? LEASE_TTL_MS
+				  : RECOVERY_LEASE_TTL_MS;
+
 	if (!t->renewing && now >= t->renew_ms) {
 		t->renewing = true;
 		t->renew_ms = now + LEASE_RENEW_MS;
-		if (!t->lease_id || !t->lease_live)
-			pf_lease_grant(t->d->store, LEASE_TTL_MS,
-				       CALL_TIMEOUT_MS, on_lease, t);
-		else
+		if (!t->lease_id || !t->lease_live ||
+		    t->lease_ttl_ms != ttl_ms) {
+			t->lease_ttl_ms = ttl_ms;
+			pf_lease_grant(t->d->store, ttl_ms, CALL_TIMEOUT_MS,
+				       on_lease, t);
+		} else {
 			pf_lease_renew(t->d->store, t->lease_id,
 				       CALL_TIMEOUT_MS, on_lease_renewed, t);
+		}
 	}
 	if (!t->confirming && now > t->confirmed_ms + CONFIRM_INTERVAL_MS &&
 	    now > t->confirm_sent_ms + CONFIRM_INTERVAL_MS) {
@@ -501,6 +518,7 @@
 	struct terms *t = xcalloc(1, sizeof(*t));
 
 	t->d = d;
+	t->started_ms = loop_now_ms();
 	t->tick = (struct timer){ .fn = on_tick, .ctx = t };
 	t->retry = (struct timer){ .fn = on_retry, .ctx = t };
 	read_terms(t);
--- a/tests/terms_test.cc
+++ b/tests/terms_test.cc
@@ -21,6 +21,9 @@
 std::vector<Call> commits;
 std::string claimed; /* value of the latest claim */
 std::vector<uint64_t> began;
+std::vector<Call> grants;
+std::vector<uint32_t> ttls; /* of the leases requested */
+bool settled;		    /* answer of holder_settled() */
 struct cell_config config;
 /* Keeps objects that are never freed reachable, for the leak checker. */
 std::vector<void *> &kept = *new std::vector<void *>;
@@ -53,17 +56,26 @@
 	commits.push_back({ done, ctx });
 }
 
-void pf_lease_grant(struct pf_store *, uint32_t, uint32_t, pf_done, void *)
+void pf_lease_grant(struct pf_store *, uint32_t ttl_ms, uint32_t, pf_done done,
+		    void *ctx)
 {
+	ttls.push_back(ttl_ms);
+	grants.push_back({ done, ctx });
 }
 
-void pf_lease_renew(struct pf_store *, uint64_t, uint32_t, pf_done, void *)
+void pf_lease_renew(struct pf_store *, uint64_t, uint32_t, pf_done done,
+		    void *ctx)
 {
+	struct pf_reply reply = {};
+
+	reply.status = PF_OK;
+	done(ctx, &reply);
 }
 
+/* The store is healthy at all times that the tests pass to terms_tick(). */
 uint64_t pf_store_last_ok_ms(const struct pf_store *)
 {
-	return loop_now_ms();
+	return loop_now_ms() + 60000;
 }
 
 const struct cell_config *config_current(const struct config_watch *)
@@ -96,6 +108,11 @@
 {
 }
 
+bool holder_settled(const struct holder *, uint64_t)
+{
+	return settled;
+}
+
 bool links_holder_up(const struct links *)
 {
 	return false;
@@ -163,6 +180,45 @@
 	call.done(call.ctx, &reply);
 }
 
+/* Answers all calls that a holder makes for its lease. */
+void answer_lease()
+{
+	struct pf_reply reply = {};
+
+	reply.status = PF_OK;
+	reply.lease = 1;
+	while (!grants.empty()) {
+		Call call = grants.back();
+
+		grants.pop_back();
+		commits.clear();
+		call.done(call.ctx, &reply);
+		for (const Call &commit : std::vector<Call>(commits))
+			commit.done(commit.ctx, &reply);
+	}
+}
+
+/* Starts the election of a daemon that knows of no term. */
+struct terms *start_terms(struct celld *d, const char *name, double cpu_share)
+{
+	struct terms *terms;
+
+	d->loop = loop_new();
+	snprintf(d->conf.name, sizeof(d->conf.name), "%s", name);
+	snprintf(d->conf.peers_address, sizeof(d->conf.peers_address),
+		 "127.0.0.1:1");
+	d->conf.cpu_share = cpu_share;
+	ranges.clear();
+	commits.clear();
+	began.clear();
+	ttls.clear();
+	terms = terms_new(d);
+	kept.push_back(d->loop);
+	kept.push_back(terms);
+	answer(ranges[0], 5, "");
+	return terms;
+}
+
 } // namespace
 
 /*
@@ -197,3 +253,56 @@
 	EXPECT_EQ(began, (std::vector<uint64_t>{ 7 }));
 	EXPECT_EQ(terms_token(terms), 7U);
 }
+
+/*
+ * Guards against a holder that loses its lease while it reads the state of a
+ * large cell: the next one would begin anew, and so on.
+ */
+TEST(Terms, RecoveringHolderHasALongerLease)
+{
+	static struct celld d;
+	struct terms *terms = start_terms(&d, "d2", 1);
+	uint64_t now = loop_now_ms();
+
+	terms_tick(terms, now);
+	terms_tick(terms, now + 1000);
+	ASSERT_EQ(commits.size(), 1U);
+	answer(commits[0], 7, "");
+	ASSERT_EQ(terms_token(terms), 7U);
+	d.holder = reinterpret_cast<struct holder *>(&d);
+	settled = false;
+	terms_tick(terms, now + 1100);
+	answer_lease();
+	terms_tick(terms, now + 2100);
+	ASSERT_EQ(ttls.size(), 1U);
+	settled = true;
+	terms_tick(terms, now + 3100);
+	ASSERT_EQ(ttls.size(), 2U);
+	EXPECT_GE(ttls[0], 3 * ttls[1]);
+	answer_lease();
+	terms_tick(terms, now + 4100);
+	EXPECT_EQ(ttls.size(), 2U);
+}
+
+/*
+ * Guards against a small holder of a large cell after a loss of all daemons:
+ * the small ones may start first, and recover too slowly.
+ */
+TEST(Terms, SmallDaemonLetsOthersClaimFirstAfterBoot)
+{
+	static struct celld small;
+	static struct celld large;
+	struct terms *terms = start_terms(&small, "small", 0.12);
+	uint64_t now = loop_now_ms();
+
+	terms_tick(terms, now);
+	terms_tick(terms, now + 300);
+	EXPECT_TRUE(commits.empty());
+	terms_tick(terms, now + 1000);
+	EXPECT_EQ(commits.size(), 1U);
+	terms = start_terms(&large, "large", 0.5);
+	now = loop_now_ms();
+	terms_tick(terms, now);
+	terms_tick(terms, now + 300);
+	EXPECT_EQ(commits.size(), 1U);
+}
