--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -10,6 +10,7 @@
 
 #include "celld.h"
 #include "mp.h"
+#include "mpcheck.h"
 
 #define RECORD_VERSION 1
 #define JOB_FIELDS 9
@@ -143,6 +144,14 @@
 	return true;
 }
 
+static bool unpack_object(msgpack_unpacked *unpacked, const char *data,
+			  size_t len)
+{
+	return mp_check(data, len) &&
+	       msgpack_unpack_next(unpacked, data, len, NULL) ==
+		       MSGPACK_UNPACK_SUCCESS;
+}
+
 /*
  * Decodes a job. On success the caller frees @spec with cell_job_spec_free().
  * Returns false if the job is malformed.
@@ -154,8 +163,7 @@
 
 	*spec = (struct cell_job_spec){ 0 };
 	msgpack_unpacked_init(&unpacked);
-	ok = msgpack_unpack_next(&unpacked, data, len, NULL) ==
-		     MSGPACK_UNPACK_SUCCESS &&
+	ok = unpack_object(&unpacked, data, len) &&
 	     unpack_job(&unpacked.data, spec);
 	msgpack_unpacked_destroy(&unpacked);
 	if (!ok)
@@ -233,8 +241,7 @@
 	bool ok;
 
 	msgpack_unpacked_init(&unpacked);
-	ok = msgpack_unpack_next(&unpacked, data, len, NULL) ==
-		     MSGPACK_UNPACK_SUCCESS &&
+	ok = unpack_object(&unpacked, data, len) &&
 	     unpacked.data.type == MSGPACK_OBJECT_ARRAY;
 	for (uint32_t i = 0; ok && i < unpacked.data.via.array.size; i++)
 		ok = replay_row(&unpacked.data.via.array.ptr[i], cell);
--- a/lib/jnl.c
+++ b/lib/jnl.c
@@ -6,6 +6,8 @@
 
 #include <msgpack.h>
 
+#include "mpcheck.h"
+
 #define JNL_VERSION 1
 #define JNL_BATCH_FIELDS 5
 #define JNL_SPEC_FIELDS 17
@@ -375,7 +377,8 @@
 		err_set(err, ERR_TOO_LARGE, "batch: too large, %zu bytes", len);
 		goto out;
 	}
-	if (msgpack_unpack_next(unpacked, bytes, len, &consumed) !=
+	if (!mp_check(bytes, len) ||
+	    msgpack_unpack_next(unpacked, bytes, len, &consumed) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    consumed != len) {
 		err_set(err, ERR_BAD_REQUEST,
--- a/lib/slot.c
+++ b/lib/slot.c
@@ -40,6 +40,8 @@
 
 #include <msgpack.h>
 
+#include "mpcheck.h"
+
 /* Sequence numbers are derived from the time, in microseconds. */
 #define SEQ_PER_MS 1000
 /* Released members kept in memory; each leaves the list within seconds. */
@@ -968,79 +970,11 @@
 	return true;
 }
 
-/* Reads a big-endian number of @n bytes; returns false if it is truncated. */
-static bool read_number(const unsigned char *p, size_t len, size_t *pos,
-			size_t n, size_t *value)
-{
-	if (len - *pos < n)
-		return false;
-	*value = 0;
-	for (size_t i = 0; i < n; i++)
-		*value = (*value << 8) | p[(*pos)++];
-	return true;
-}
-
-/*
- * Reads the head of one msgpack object. Stores the size of its value in bytes
- * in @skip and the number of its elements in @items. Returns false for types
- * that do not occur in the messages.
- */
-static bool read_head(const unsigned char *p, size_t len, size_t *pos,
-		      size_t *skip, size_t *items)
-{
-	unsigned char head = p[(*pos)++];
-
-	*skip = 0;
-	*items = 0;
-	if (head < 0x80)
-		return true;
-	if (head >= 0x90 && head <= 0x9f)
-		*items = head & 0x0f;
-	else if (head >= 0xa0 && head <= 0xbf)
-		*skip = head & 0x1f;
-	else if (head >= 0xcc && head <= 0xcf)
-		*skip = (size_t)1 << (head - 0xcc);
-	else if (head == 0xd9)
-		return read_number(p, len, pos, 1, skip);
-	else if (head == 0xdc || head == 0xdd)
-		return read_number(p, len, pos, head == 0xdc ? 2 : 4, items);
-	else
-		return false;
-	return true;
-}
-
-/*
- * Returns true if the lengths in a msgpack message of numbers, short strings
- * and arrays are consistent with its size. The unpacker allocates arrays with
- * the encoded length before it reads their elements, so that a message of 5
- * bytes could make it allocate 128 GB.
- */
-static bool lengths_valid(const char *data, size_t len)
-{
-	const unsigned char *p = (const unsigned char *)data;
-	size_t pos = 0;
-	size_t pending = 1;
-
-	while (pending) {
-		size_t skip;
-		size_t items;
-
-		if (pos >= len || !read_head(p, len, &pos, &skip, &items) ||
-		    skip > len - pos)
-			return false;
-		pos += skip;
-		pending += items - 1;
-		if (pending > len - pos)
-			return false;
-	}
-	return pos == len;
-}
-
 static bool unpack(msgpack_unpacked *unpacked, const char *data, size_t len)
 {
 	size_t offset = 0;
 
-	return len <= SLOT_BODY_MAX && lengths_valid(data, len) &&
+	return len <= SLOT_BODY_MAX && mp_check(data, len) &&
 	       msgpack_unpack_next(unpacked, data, len, &offset) ==
 		       MSGPACK_UNPACK_SUCCESS &&
 	       offset == len;
