Read only the changes of the list of minions

Cause: the holder read the whole list every 0.6 s: 1,100 entries in three pages, some 0.6 MB a second of its link, and parsed it at 0.12 to 0.5 cores.

Change: jaycelld/listing.c reads the list once, then watches it from the revision of the first page; it is read in full again every 10 s and when the history is gone. A malformed entry still names no minion.

--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -9,14 +9,12 @@
 #include <string.h>
 
 #include "holder_int.h"
-#include "platform/decode.h"
 
 #define TICK_MS 10
 #define READ_TIMEOUT_MS 2000
 #define READ_RETRY_MS 100
 /* Long-poll time of a poll of a minion. */
 #define POLL_WAIT_MS 1500
-#define MINIONS_POLL_MS 600
 /*
  * Poll interval for jobs whose daemon stored them but could not notify the
  * holder. It is shorter while a follower is missing.
@@ -30,7 +28,6 @@
  * its term: it must confirm its term every 1.5 s.
  */
 #define PREDECESSOR_VALID_MS 1700
-#define MINIONS_MAX 4096
 
 static void read_page(struct holder *h);
 
@@ -40,7 +37,7 @@
 	cell_free(h->cell);
 	gc_free(h->gc);
 	journal_free(h);
-	free(h->infos);
+	listing_free(h->listing);
 	free(h);
 }
 
@@ -138,7 +135,6 @@
 	if (reply->status != PF_OK) {
 		ev("recovery-retry", "phase=%u status=%d", h->phase,
 		   reply->status);
-		h->minions_poll_ms = 0;
 		h->jobs_poll_ms = loop_now_ms() + READ_RETRY_MS;
 		return;
 	}
@@ -237,49 +233,6 @@
 			 on_jobs_page, h);
 }
 
-static void poll_minions(struct holder *h, const char *after);
-
-static void on_minions(void *ctx, const struct pf_reply *reply)
-{
-	struct holder *h = ctx;
-
-	if (!holder_end_call(h))
-		return;
-	h->minions_polling = false;
-	if (reply->status != PF_OK)
-		return;
-	h->infos = xrealloc(h->infos, (h->info_count + reply->count + 1) *
-					      sizeof(*h->infos));
-	for (uint32_t i = 0; i < reply->count; i++) {
-		const struct pf_item *item = &reply->items[i];
-		struct err err = { 0 };
-
-		if (item->value &&
-		    pf_decode_minion(item->key, item->value, item->value_len,
-				     &h->infos[h->info_count], &err))
-			h->info_count++;
-		else
-			ev("entry-malformed", "key=%s revision=%llu", item->key,
-			   (unsigned long long)item->revision);
-	}
-	if (reply->more && reply->count && h->info_count < MINIONS_MAX) {
-		poll_minions(h, reply->items[reply->count - 1].key);
-		return;
-	}
-	cell_set_minions(h->cell, h->infos, h->info_count, loop_now_ms());
-}
-
-static void poll_minions(struct holder *h, const char *after)
-{
-	h->minions_polling = true;
-	h->minions_poll_ms = loop_now_ms() + MINIONS_POLL_MS;
-	if (!after)
-		h->info_count = 0;
-	h->calls_in_flight++;
-	pf_range(h->d->store, PF_MINIONS_PREFIX, after, READ_TIMEOUT_MS,
-		 on_minions, h);
-}
-
 /* Passes on the result of an advice request made through a follower. */
 void holder_on_advice(struct holder *h, uint32_t request_id, bool answered,
 		      const struct cell_ticket *tickets, uint32_t count)
@@ -349,8 +302,7 @@
 			read_page(h);
 		return;
 	}
-	if (!h->minions_polling && now_ms >= h->minions_poll_ms)
-		poll_minions(h, NULL);
+	listing_tick(h->listing, now_ms);
 	if (!h->jobs_polling && now_ms >= h->jobs_poll_ms)
 		poll_jobs(h, now_ms);
 	cell_set_term_valid(h->cell, terms_valid(h->d->terms, now_ms));
@@ -388,6 +340,7 @@
 	h->token = token;
 	h->started_ms = loop_now_ms();
 	h->gc = gc_new(d, token);
+	h->listing = listing_new(h);
 	h->cell = cell_new(&h->owner, &settings, h->started_ms);
 	h->tick = (struct timer){ .fn = on_tick, .ctx = h };
 	h->starts = ctr_counter("jaycelld_starts_total", "Runs ordered.");
--- a/jaycelld/holder_int.h
+++ b/jaycelld/holder_int.h
@@ -56,10 +56,7 @@
 	uint64_t jobs_revision;		  /* watch position; 0: list again */
 	bool jobs_polling;
 	uint64_t jobs_poll_ms;
-	bool minions_polling;
-	uint64_t minions_poll_ms;
-	struct cell_minion_info *infos; /* listing in progress */
-	uint32_t info_count;
+	struct listing *listing;
 	struct journal_entry *queue;
 	uint32_t queue_head;
 	uint32_t queue_count;
@@ -92,6 +89,12 @@
 /* cell_ops.c: callbacks of the cell scheduler */
 extern const struct cell_ops holder_ops;
 
+/* listing.c: minions that the platform lists */
+struct listing;
+struct listing *listing_new(struct holder *h);
+void listing_free(struct listing *listing);
+void listing_tick(struct listing *listing, uint64_t now_ms);
+
 /* journal.c: group commit of journal records */
 void journal_add(struct holder *h, uint64_t seq,
 		 const struct cell_record *record);
