Close idle connections after 5 s, and list minions in full after a failed watch

Cause: at 300 daemons and 3,000 minions the holder had 8,064 connections of 7,992 that its descriptors allow, mostly idle ones that were kept for 60 s; starts, stops and calls to the store then fail. A watch of the minions that times out has more to return the next time and was repeated for up to 10 s, while draining minions got work.

Change: connections are closed after 5 s without use; the list of minions is read in full after each watch that fails.

--- a/common/httpc.c
+++ b/common/httpc.c
@@ -17,7 +17,7 @@
  */
 #define HTTPC_IO_TIMEOUT_MS 600000
 #define HTTPC_POOL_CAPACITY 4096 /* connections to one address */
-#define HTTPC_POOL_IDLE_MS 60000
+#define HTTPC_POOL_IDLE_MS 5000
 #define HTTPC_MAX_RESPONSE_BYTES (4U << 20)
 #define HTTPC_ADDR_MAX 56 /* bytes, with NUL */
 /*
--- a/jaycelld/listing.c
+++ b/jaycelld/listing.c
@@ -130,12 +130,16 @@
 	if (!holder_end_call(h))
 		return;
 	l->in_flight = false;
-	if (reply->status == PF_COMPACTED) {
+	if (reply->status != PF_OK) {
+		/*
+		 * A watch that timed out would have more to return the next
+		 * time, so it is not repeated.
+		 */
 		l->revision = 0;
-		l->poll_ms = 0;
-	}
-	if (reply->status != PF_OK)
+		if (reply->status == PF_COMPACTED)
+			l->poll_ms = 0;
 		return;
+	}
 	apply(l, reply);
 	if (reply->read_revision > l->revision)
 		l->revision = reply->read_revision;
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "cell_fixture.h"
 
 extern "C" {
@@ -1031,3 +1033,72 @@
 	EXPECT_EQ(cell_get_job_state(f.cell, "j1"), CELL_JOB_COMPLETED);
 	EXPECT_EQ(cell_cancel(f.cell, "j1", f.now), 0U);
 }
+
+namespace
+{
+
+/* A queue whose steps need advice. */
+void advised_queue(CellFixture *f)
+{
+	struct cell_queue_spec *q = f->queue("q", 0, 2);
+
+	q->advice.needed = true;
+	q->advice.decide_ms = 10;
+	q->advice.per_minion_ms = 0.1;
+	q->advice.valid_ms = 1500;
+}
+
+} // namespace
+
+/*
+ * Guards against a holder that is busy for seconds after a takeover, and loses
+ * its lease: one pass prepared a request for each of hundreds of waiting steps.
+ */
+TEST(Cell, PassPreparesABoundedNumberOfAdviceRequests)
+{
+	CellFixture f;
+	size_t before = 0;
+
+	advised_queue(&f);
+	cell_replay_done(f.cell, f.now);
+	f.minions(20, 8000);
+	for (uint32_t lane = 1; lane < 40; lane++)
+		cell_lane_up(f.cell, lane);
+	for (int i = 0; i < 200; i++)
+		f.submit(CellFixture::job("j" + std::to_string(i), "q", 1,
+					  8000));
+	for (int i = 0; i < 100; i++) {
+		before = f.advice_requests.size();
+		f.tick(10);
+		EXPECT_LE(f.advice_requests.size(), before + 12);
+	}
+	EXPECT_EQ(f.advice_requests.size(), 200U);
+}
+
+/*
+ * Guards against a request that names a minion twice, or names full minions
+ * though there are others with free resources.
+ */
+TEST(Cell, AdviceNamesDifferentMinionsAndThoseWithRoomFirst)
+{
+	CellFixture f;
+	std::set<std::string> named;
+
+	advised_queue(&f);
+	cell_replay_done(f.cell, f.now);
+	f.minions(160, 8000);
+	/* Odd minions are full. */
+	for (uint32_t i = 1; i < 160; i += 2)
+		f.report(i, "m" + std::to_string(i),
+			 { { "full" + std::to_string(i) + ".0.0.0", 1, "" } },
+			 {});
+	f.submit(CellFixture::job("wide", "q", 60, 8000));
+	f.tick(10);
+	ASSERT_EQ(f.advice_requests.size(), 1U);
+	for (const std::string &id : f.advice_requests[0].minions)
+		named.insert(id);
+	EXPECT_EQ(named.size(), f.advice_requests[0].minions.size());
+	EXPECT_EQ(named.size(), 100U);
+	for (uint32_t i = 0; i < 160; i += 2)
+		EXPECT_EQ(named.count("m" + std::to_string(i)), 1U);
+}
--- a/tests/listing_test.cc
+++ b/tests/listing_test.cc
@@ -191,3 +191,19 @@
 	listing_tick(h.listing, now += 20000);
 	EXPECT_EQ(pages.size(), 4U);
 }
+
+/*
+ * Guards against work for a minion that drains, seen as DRAIN on the sweep at
+ * 300 machines: a watch that has timed out is never caught up with.
+ */
+TEST_F(Listing, IsReadInFullAfterAWatchWithoutAResponse)
+{
+	read_two();
+	listing_tick(h.listing, now += 1000);
+	answer(watches[0], 0, {}, false, PF_UNKNOWN);
+	listing_tick(h.listing, now += 1000);
+	EXPECT_EQ(watches.size(), 1U);
+	ASSERT_EQ(pages.size(), 3U);
+	answer(pages[2], 30, { { "servers/m2", minion_entry("10.0.0.2:1") } });
+	EXPECT_EQ(listed(), 1U);
+}
