--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -1102,3 +1102,45 @@
 	for (uint32_t i = 0; i < 160; i += 2)
 		EXPECT_EQ(named.count("m" + std::to_string(i)), 1U);
 }
+
+/*
+ * Guards against work that is started again, or given up, because its minion
+ * was only silent for a while: its lease has not ended, so the run goes on
+ * there.
+ */
+TEST(Cell, SilentMinionKeepsItsRunsUntilTheirLeaseHasEnded)
+{
+	CellFixture f;
+	uint32_t minion;
+	std::string id;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(2, 8000);
+	f.submit(CellFixture::job("j1", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	minion = f.starts[0].minion;
+	id = f.starts[0].minion_id;
+	cell_on_start(f.cell, minion, "j1.0.0.0", f.starts[0].run, CELL_OK,
+		      f.now);
+	for (int ms = 0; ms < 5000; ms += 250) {
+		cell_on_poll_failed(f.cell, minion, id.c_str(), CELL_NO_ANSWER,
+				    f.now);
+		f.tick(250);
+	}
+	EXPECT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.stops.size(), 0U);
+	EXPECT_EQ(cell_get_job_state(f.cell, "j1"), CELL_JOB_RUNNING);
+	f.report(minion, id, { { "j1.0.0.0", f.starts[0].run, "" } }, {});
+	f.tick(10);
+	EXPECT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.stops.size(), 0U);
+	/* Renewed by no poll since, the lease ends 5.5 s after the start. */
+	for (int ms = 0; ms < 8000; ms += 250) {
+		cell_on_poll_failed(f.cell, minion, id.c_str(), CELL_NO_ANSWER,
+				    f.now);
+		f.tick(250);
+	}
+	EXPECT_EQ(f.starts.size(), 2U);
+}
