Give the watch of the minions the time of a long poll

Change: the watch waits for up to 1 s, so that its response may take 1.7 s, and the list is read at once after a watch without a response.

Tried and reverted: connections closed after use from three quarters of the descriptors on (setting max_fds).

--- a/jaycelld/listing.c
+++ b/jaycelld/listing.c
@@ -1,6 +1,6 @@
 /*
  * The platform's list of minions, as the holder knows it: read once in full,
- * then kept up to date by short watches, as a full list of a large cell takes
+ * then kept up to date by watches, as a full list of a large cell takes
  * much of the link of the holder.
  */
 #include <stdlib.h>
@@ -11,8 +11,8 @@
 
 #define POLL_MS 600
 #define READ_TIMEOUT_MS 2000
-/* A poll returns at once: it is a watch with the shortest wait. */
-#define WATCH_WAIT_MS 1
+/* Also the time that a busy holder has to read the response. */
+#define WATCH_WAIT_MS 1000
 /* The list is read in full again after this, should a watch have missed one. */
 #define RELIST_MS 10000
 #define MINIONS_MAX 4096
@@ -136,7 +136,8 @@
 		 * time, so it is not repeated.
 		 */
 		l->revision = 0;
-		if (reply->status == PF_COMPACTED)
+		if (reply->status == PF_COMPACTED ||
+		    reply->status == PF_UNKNOWN)
 			l->poll_ms = 0;
 		return;
 	}
