Log the runs that are lost with their minion

The logs did not say which runs a crash of a minion took, how long they had run and how many ran beside them, so that a count of lost runs, their cause and the load of repeated crashes could not be told apart. run-lost says so for each run; gauges count failing minions, lost minions and lost runs.

--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -289,6 +289,15 @@
 	ctr_set(ctr_gauge("jaycelld_unsettled_minions",
 			  "Minions of earlier terms that are not heard yet."),
 		stats.unsettled);
+	ctr_set(ctr_gauge("jaycelld_failing_minions",
+			  "Minions that are listed and do not respond."),
+		stats.failing);
+	ctr_set(ctr_gauge("jaycelld_minions_lost",
+			  "Minions that this term lost with runs on them."),
+		stats.minions_lost);
+	ctr_set(ctr_gauge("jaycelld_runs_lost",
+			  "Runs that this term lost with their minion."),
+		stats.runs_lost);
 	ctr_set(ctr_gauge("jaycelld_used_cpu_milli",
 			  "Thousandths of cores that runs hold."),
 		stats.used_cpu_milli);
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -145,6 +145,7 @@
 	stats->ready_steps = cell->ready_count;
 	stats->unsettled = cell->unsettled;
 	stats->minions = 0;
+	stats->failing = 0;
 	stats->running = 0;
 	stats->used_cpu_milli = 0;
 	stats->total_cpu_milli = 0;
@@ -154,6 +155,7 @@
 		if (!m->used)
 			continue;
 		stats->minions += m->listed;
+		stats->failing += m->listed && m->failing;
 		stats->running += m->run_count;
 		stats->used_cpu_milli += m->held.cpu_milli;
 		stats->total_cpu_milli += m->info.capacity.cpu_milli;
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -225,6 +225,9 @@
 	uint64_t ends[CELL_ENDS];
 	uint64_t rejected;
 	uint64_t questions;
+	uint64_t minions_lost; /* minions that were lost with runs on them */
+	uint64_t runs_lost;    /* runs that were lost with their minion */
+	uint32_t failing;      /* listed minions that do not respond */
 	uint64_t used_cpu_milli;
 	uint64_t total_cpu_milli;
 };
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -123,6 +123,7 @@
 	bool contacted;	      /* has the fencing token of this term */
 	bool inherited;	      /* may have runs of an earlier term */
 	bool failing;	      /* the latest call to it failed */
+	uint64_t failing_ms;  /* since when, if failing */
 	uint32_t polls_in_flight;
 	bool poll_now;		 /* at once, even if a long poll is in flight */
 	uint64_t unknown_job_ms; /* first end of an unknown job, 0: none */
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -235,6 +235,44 @@
 			NULL, m, 0, now_ms);
 }
 
+/* Marks a minion as not responding; its runs may go on. */
+static void set_failing(struct cell_minion *m, uint64_t now_ms)
+{
+	if (!m->failing)
+		m->failing_ms = now_ms;
+	m->failing = true;
+}
+
+/*
+ * Logs the runs that are lost with their minion: for each, how long it had run
+ * when the minion failed, and how many others ran beside it.
+ */
+static void log_lost_runs(struct cell *cell, const struct cell_minion *m,
+			  const char *why, uint64_t now_ms)
+{
+	uint64_t failed_ms = m->failing ? m->failing_ms : now_ms;
+
+	if (!m->run_count)
+		return;
+	cell->stats.minions_lost++;
+	cell->stats.runs_lost += m->run_count;
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		const struct cell_run *run = &m->runs[i];
+
+		cell_event(cell, &(struct cell_event){
+					 .what = "run-lost",
+					 .task = run->task,
+					 .minion = m->info.id,
+					 .run = run->run,
+					 .detail = why,
+					 .age_ms = failed_ms > run->sent_ms
+							   ? failed_ms -
+								     run->sent_ms
+							   : 0,
+					 .value = m->run_count - 1 });
+	}
+}
+
 /*
  * Settles a minion: nothing runs on it, and no start that was sent earlier can
  * take effect there.
@@ -242,6 +280,7 @@
 static void minion_settle(struct cell *cell, struct cell_minion *m,
 			  const char *why, uint64_t now_ms)
 {
+	log_lost_runs(cell, m, why, now_ms);
 	while (m->run_count) {
 		struct cell_run run = m->runs[0];
 
@@ -623,14 +662,16 @@
 	if (result == CELL_OTHER_INCARNATION) {
 		if (m->enrolled || m->run_count || m->inherited)
 			minion_settle(cell, m, "replaced", now_ms);
-		m->failing = true;
+		set_failing(m, now_ms);
 		m->next_poll_ms = now_ms + POLL_RETRY_SLOW_MS;
 		return;
 	}
 	if (!m->failing)
-		cell_event(cell, &(struct cell_event){ .what = "minion-silent",
-						       .minion = m->info.id });
-	m->failing = true;
+		cell_event(cell,
+			   &(struct cell_event){ .what = "minion-silent",
+						 .minion = m->info.id,
+						 .value = m->run_count });
+	set_failing(m, now_ms);
 }
 
 static void handle_start_rejected(struct cell *cell, struct cell_minion *m,
@@ -678,7 +719,7 @@
 					       .value = (uint64_t)result });
 	if (result != CELL_NO_ANSWER) {
 		if (result == CELL_NOT_SENT || result == CELL_OTHER_INCARNATION)
-			m->failing = true;
+			set_failing(m, now_ms);
 		handle_start_rejected(cell, m, r, result, now_ms);
 		return;
 	}
