Add failing tests for tasks that crash their minions

A crashed minion now also ends its pending poll: without that, the scheduler waited for a response that never came.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -48,6 +48,8 @@
 	SIM_TAKEOVER,
 	SIM_UNRESPONSIVE,
 	SIM_CRASH,
+	SIM_RACK_CRASH,
+	SIM_TASK_CRASH,
 	SIM_OUTAGE
 };
 
@@ -93,6 +95,7 @@
 	uint32_t incarnation;
 	uint64_t boot_ms;
 	uint64_t unresponsive_until_ms;
+	uint64_t down_until_ms; /* refuses connections until then */
 	uint64_t token;
 	uint64_t lease_ms;
 	uint64_t next_number;
@@ -113,6 +116,8 @@
 	uint32_t failures;
 	uint32_t running;
 	uint64_t failed_run;
+	uint32_t crashes;	     /* minions that it crashed */
+	uint32_t starts_over_budget; /* since CELLSIM_CRASH_BUDGET crashes */
 };
 
 struct sim_job {
@@ -127,6 +132,7 @@
 	uint32_t gang_failures;
 	uint64_t gang_failed_run;
 	uint64_t done_ms;
+	bool crashes_minions;
 	UT_hash_handle hh;
 };
 
@@ -671,6 +677,28 @@
 				 c->gang ? job->gang_failures : task->failures);
 }
 
+/* Counts a start, and schedules the crash that the task causes, if any. */
+static void note_crash_start(struct cellsim *s, struct sim_job *job,
+			     const struct cell_task_name *name,
+			     const struct event *e)
+{
+	struct sim_task *task = &job->tasks[name->index];
+	struct event crash = *e;
+
+	if (!job->crashes_minions || name->index)
+		return;
+	if (task->crashes >= CELLSIM_CRASH_BUDGET &&
+	    ++task->starts_over_budget >= CELLSIM_CRASH_BUDGET)
+		report_violation(s, &s->result->over_crash_budget,
+				 "%s started %u times more after it had "
+				 "crashed %u minions",
+				 e->task, task->starts_over_budget,
+				 CELLSIM_CRASH_BUDGET);
+	crash.kind = SIM_TASK_CRASH;
+	crash.incarnation = s->minions[e->minion].incarnation;
+	event_push(s, &crash, draw_around(s, s->settings->crash_after_ms));
+}
+
 static enum cell_result accept_start(struct cellsim *s, const struct event *e)
 {
 	struct sim_minion *m = &s->minions[e->minion];
@@ -700,6 +728,7 @@
 	memcpy(run->task, e->task, sizeof(run->task));
 	task->running++;
 	check_capacity(s, m);
+	note_crash_start(s, job, &name, e);
 	if (!c->gang) {
 		start_work(s, e->minion, e->task, e->run, job);
 	} else if (count_gang_members(s, e->task, e->run) == job->count) {
@@ -719,10 +748,30 @@
 	return s->now < s->minions[minion].unresponsive_until_ms;
 }
 
+/*
+ * Answers a request to a minion that refuses connections. Returns false if the
+ * minion is up.
+ */
+static bool refuse(struct cellsim *s, const struct event *e,
+		   enum sim_event answer)
+{
+	struct event refused = *e;
+
+	if (s->now >= s->minions[e->minion].down_until_ms)
+		return false;
+	refused.kind = answer;
+	refused.result = CELL_NOT_SENT;
+	if (!e->unanswered)
+		event_push(s, &refused, network_delay_ms(s));
+	return true;
+}
+
 static void on_start_arrives(struct cellsim *s, struct event *e)
 {
 	bool unresponsive = is_unresponsive(s, e->minion);
 
+	if (refuse(s, e, SIM_START_ANSWERED))
+		return;
 	e->result = CELL_NO_ANSWER;
 	if (!unresponsive)
 		e->result = accept_start(s, e);
@@ -738,6 +787,8 @@
 	struct sim_run *run = run_find(m, e->task, e->run);
 	bool unresponsive = is_unresponsive(s, e->minion);
 
+	if (refuse(s, e, SIM_STOP_ANSWERED))
+		return;
 	e->result = unresponsive ? CELL_NO_ANSWER : CELL_OK;
 	if (!unresponsive && e->token >= m->token) {
 		m->token = e->token;
@@ -773,6 +824,8 @@
 	struct sim_minion *m = &s->minions[e->minion];
 	uint32_t kept = 0;
 
+	if (refuse(s, e, SIM_POLL_ANSWERED))
+		return;
 	if (is_unresponsive(s, e->minion)) {
 		e->kind = SIM_POLL_ANSWERED;
 		e->result = CELL_NO_ANSWER;
@@ -927,8 +980,15 @@
 	job->at_ms = s->now;
 	job->tasks = xcalloc(job->count, sizeof(*job->tasks));
 	HASH_ADD_STR(s->jobs, id, job);
+	if (e->minion == s->settings->crash_class &&
+	    s->now >= s->settings->crash_from_ms &&
+	    s->now < s->settings->crash_until_ms)
+		job->crashes_minions = draw_unit(s) < s->settings->crash_share;
 	s->result->jobs++;
-	s->result->jobs_by_class[e->minion]++;
+	if (job->crashes_minions)
+		s->result->crashing_jobs++;
+	else
+		s->result->jobs_by_class[e->minion]++;
 	submit_job(s, job, true);
 	event_push(s, e, (uint64_t)(2000.0 / c->per_s * draw_unit(s)));
 }
@@ -1050,10 +1110,8 @@
 	}
 }
 
-static void on_crash(struct cellsim *s, struct event *e)
+static void crash_minion(struct cellsim *s, struct sim_minion *m)
 {
-	struct sim_minion *m = &s->minions[draw(s) % s->settings->minions];
-
 	while (m->run_count) {
 		struct sim_run run = m->runs[0];
 
@@ -1070,11 +1128,46 @@
 	m->lease_ms = 0;
 	m->incarnation++;
 	m->boot_ms = s->now;
+	if (m->poll_pending) {
+		m->poll.kind = SIM_POLL_ANSWERED;
+		m->poll.result = CELL_NO_ANSWER;
+		event_push(s, &m->poll, network_delay_ms(s));
+	}
 	m->poll_pending = false;
 	m->unresponsive_until_ms = s->now + 300;
+	if (s->settings->restart_ms)
+		m->down_until_ms = s->now + s->settings->restart_ms;
+}
+
+static void on_crash(struct cellsim *s, struct event *e)
+{
+	crash_minion(s, &s->minions[draw(s) % s->settings->minions]);
 	event_push(s, e, draw_around(s, s->settings->crash_every_ms));
 }
 
+static void on_rack_crash(struct cellsim *s, struct event *e)
+{
+	uint32_t racks = s->settings->minions / CELLSIM_RACK_MINIONS;
+	uint32_t first = (uint32_t)(draw(s) % racks) * CELLSIM_RACK_MINIONS;
+
+	for (uint32_t i = 0; i < CELLSIM_RACK_MINIONS; i++)
+		crash_minion(s, &s->minions[first + i]);
+	event_push(s, e, draw_around(s, s->settings->rack_crash_every_ms));
+}
+
+static void on_task_crash(struct cellsim *s, const struct event *e)
+{
+	struct sim_minion *m = &s->minions[e->minion];
+	struct cell_task_name name;
+	struct sim_job *job = job_find(s, e->task, &name);
+
+	if (m->incarnation != e->incarnation || !run_find(m, e->task, e->run))
+		return;
+	job->tasks[name.index].crashes++;
+	s->result->crashes++;
+	crash_minion(s, m);
+}
+
 static void on_tick(struct cellsim *s, struct event *e)
 {
 	struct timespec a;
@@ -1098,7 +1191,8 @@
 static bool is_fault(enum sim_event kind)
 {
 	return kind == SIM_TAKEOVER || kind == SIM_UNRESPONSIVE ||
-	       kind == SIM_CRASH || kind == SIM_OUTAGE;
+	       kind == SIM_CRASH || kind == SIM_RACK_CRASH ||
+	       kind == SIM_OUTAGE;
 }
 
 static void dispatch(struct cellsim *s, struct event *e)
@@ -1171,6 +1265,12 @@
 	case SIM_CRASH:
 		on_crash(s, e);
 		break;
+	case SIM_RACK_CRASH:
+		on_rack_crash(s, e);
+		break;
+	case SIM_TASK_CRASH:
+		on_task_crash(s, e);
+		break;
 	case SIM_OUTAGE:
 		s->outage_until_ms = s->now + 1000 + draw(s) % 3000;
 		event_push(s, e, draw_around(s, s->settings->outage_every_ms));
@@ -1229,6 +1329,7 @@
 	schedule_fault(s, SIM_TAKEOVER, set->takeover_every_ms);
 	schedule_fault(s, SIM_UNRESPONSIVE, set->unresponsive_every_ms);
 	schedule_fault(s, SIM_CRASH, set->crash_every_ms);
+	schedule_fault(s, SIM_RACK_CRASH, set->rack_crash_every_ms);
 	schedule_fault(s, SIM_OUTAGE, set->outage_every_ms);
 }
 
@@ -1255,6 +1356,19 @@
 	return places >= (c->gang ? job->count : 1);
 }
 
+static void check_given_up(struct cellsim *s, const struct sim_job *job,
+			   const struct cellsim_class *c)
+{
+	for (uint32_t i = 0; i < job->count; i++) {
+		if ((c->gang ? job->gang_failures : job->tasks[i].failures) >=
+		    c->max_attempts)
+			return;
+	}
+	report_violation(s, &s->result->given_up,
+			 "%s is reported as failed, but could be done",
+			 job->id);
+}
+
 static void check_final_states(struct cellsim *s)
 {
 	struct sim_job *job;
@@ -1269,6 +1383,11 @@
 		uint64_t goal =
 			c->slo_ms + (uint64_t)(c->stretch * job->work_ms);
 
+		if (job->crashes_minions) {
+			s->result->crashing_jobs_failed +=
+				state == CELL_JOB_FAILED;
+			continue;
+		}
 		if (state == CELL_JOB_COMPLETED) {
 			s->result->completed++;
 			if (!job->done_ms)
@@ -1280,6 +1399,7 @@
 				s->result->met_slo[job->class_index]++;
 		} else if (state == CELL_JOB_FAILED) {
 			s->result->failed++;
+			check_given_up(s, job, c);
 		} else if (is_feasible(s, job)) {
 			report_violation(s, &s->result->unfinished,
 					 "%s is still %s at the end", job->id,
--- a/fakes/cellsim.h
+++ b/fakes/cellsim.h
@@ -13,6 +13,11 @@
 extern "C" {
 #endif
 
+/* Minions of a rack have consecutive numbers. */
+#define CELLSIM_RACK_MINIONS 8
+/* A task may crash this many minions and be started twice more. */
+#define CELLSIM_CRASH_BUDGET 3
+
 struct cellsim;
 
 /*
@@ -51,8 +56,21 @@
 	uint32_t takeover_every_ms;
 	uint32_t unresponsive_every_ms; /* for 1 to 8 s */
 	uint32_t crash_every_ms;	/* loses all runs */
+	uint32_t rack_crash_every_ms;	/* of a rack at once */
 	uint32_t outage_every_ms;	/* of the store, for 1 to 4 s */
-	bool trace;			/* print scheduler events */
+	/* Crashed minions refuse connections for this long, 0: 300 ms silent.
+	 */
+	uint32_t restart_ms;
+	/*
+	 * Jobs whose first task crashes each minion that starts it: a fraction
+	 * of those of one class that are submitted in an interval.
+	 */
+	uint32_t crash_class;
+	double crash_share;
+	uint32_t crash_after_ms; /* mean time from start to crash */
+	uint32_t crash_from_ms;
+	uint32_t crash_until_ms;
+	bool trace; /* print scheduler events */
 	/*
 	 * Fraction of the start and stop requests that are executed, half of
 	 * them late, but whose reply is lost.
@@ -64,8 +82,12 @@
 	uint32_t jobs;
 	uint32_t completed;
 	uint32_t failed;
-	uint32_t met_slo[8]; /* jobs completed within the SLO, by class */
+	/* By class, without the jobs that crash minions: */
+	uint32_t met_slo[8]; /* completed within the SLO */
 	uint32_t jobs_by_class[8];
+	uint32_t crashing_jobs;
+	uint32_t crashing_jobs_failed; /* reported as failed */
+	uint32_t crashes;	       /* of minions, by tasks */
 	uint32_t starts;
 	uint32_t takeovers;
 	uint32_t gang_timeouts; /* members whose gang did not start */
@@ -77,6 +99,8 @@
 	uint32_t duplicate_runs;
 	uint32_t over_max_attempts;
 	uint32_t wrong_state;
+	uint32_t over_crash_budget; /* third start after CRASH_BUDGET */
+	uint32_t given_up;	    /* failed, though it could be done */
 	uint32_t unfinished;
 	char first_violation[160]; /* empty if none */
 };
