Give up tasks that crash the minions that start them

Cause: a run that is lost with its minion only made its task ready again. Nothing was kept of what the last try did; max_attempts counts only the ends that a minion reports.

Change: lib/cell/crash.c divides the blame for a lost minion among its runs, the youngest first. A suspect starts again in isolation; a task that is the likely cause of repeated crashes is given up and its job fails. Crashes are journalled when the connection breaks, since the minion is found to be replaced only 3 s later and a holder that takes over would not know them. Minions that fail at the same moment, or are silent until their lease ends, leave no blame. A crash that comes earlier than half the time that the task survived another time is not its doing.

--- a/fakes/cellsim.h
+++ b/fakes/cellsim.h
@@ -86,8 +86,8 @@
 	uint32_t met_slo[8]; /* completed within the SLO */
 	uint32_t jobs_by_class[8];
 	uint32_t crashing_jobs;
-	uint32_t crashing_jobs_failed; /* reported as failed */
-	uint32_t crashes;	       /* of minions, by tasks */
+	uint32_t crashing_jobs_ended; /* failed, or done before the crash */
+	uint32_t crashes;	      /* of minions, by tasks */
 	uint32_t starts;
 	uint32_t takeovers;
 	uint32_t gang_timeouts; /* members whose gang did not start */
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -15,6 +15,8 @@
 #define RECORD_VERSION 1
 #define JOB_FIELDS 9
 #define STEP_FIELDS 13
+#define RECORD_FIELDS 5
+#define CRASH_RECORD_FIELDS 8
 
 enum step_flag {
 	STEP_GANG = 1,
@@ -177,10 +179,13 @@
 	msgpack_packer pk;
 
 	mp_open(&pk, out);
-	msgpack_pack_array(&pk, 5);
+	msgpack_pack_array(&pk, record->kind == CELL_RECORD_CRASH
+					? CRASH_RECORD_FIELDS
+					: RECORD_FIELDS);
 	msgpack_pack_uint32(&pk, record->kind);
 	switch (record->kind) {
 	case CELL_RECORD_END:
+	case CELL_RECORD_CRASH:
 		mp_pack_text(&pk, record->task);
 		break;
 	case CELL_RECORD_CANCEL:
@@ -193,10 +198,28 @@
 	}
 	msgpack_pack_uint64(&pk, record->run);
 	msgpack_pack_uint32(&pk, record->end);
+	if (record->kind == CELL_RECORD_CRASH) {
+		mp_pack_text(&pk, record->minion);
+		msgpack_pack_uint32(&pk, record->blame);
+		msgpack_pack_uint32(&pk, record->others);
+		msgpack_pack_uint64(&pk, record->age_ms);
+		return;
+	}
 	mp_pack_text(&pk, record->kind == CELL_RECORD_END ? record->checkpoint
 							  : record->addr);
 }
 
+/* Decodes the fields that only the record of a crash has. */
+static bool unpack_crash(const msgpack_object *f, const char *minion,
+			 struct cell_record *record)
+{
+	record->minion = minion;
+	return strlen(minion) < CELL_NAME_MAX &&
+	       mp_get_u32(&f[RECORD_FIELDS], &record->blame) &&
+	       mp_get_u32(&f[RECORD_FIELDS + 1], &record->others) &&
+	       mp_get_u64(&f[RECORD_FIELDS + 2], &record->age_ms);
+}
+
 /* Appends a batch of @count records, encoded back to back in @records. */
 void record_pack_batch(const struct buf *records, uint32_t count,
 		       struct buf *out)
@@ -217,8 +240,10 @@
 	uint32_t kind;
 	uint32_t end;
 
-	if (!is_array(o, 5) || !mp_get_u32(&f[0], &kind) ||
-	    kind >= CELL_RECORD_KINDS ||
+	if (o->type != MSGPACK_OBJECT_ARRAY || !o->via.array.size ||
+	    !mp_get_u32(&f[0], &kind) || kind >= CELL_RECORD_KINDS ||
+	    !is_array(o, kind == CELL_RECORD_CRASH ? CRASH_RECORD_FIELDS
+						   : RECORD_FIELDS) ||
 	    !get_text(&f[1], subject, sizeof(subject)) ||
 	    !mp_get_u64(&f[2], &record.run) || !mp_get_u32(&f[3], &end) ||
 	    end >= CELL_ENDS || !get_text(&f[4], detail, sizeof(detail)))
@@ -230,6 +255,8 @@
 	record.minion = subject;
 	record.checkpoint = detail;
 	record.addr = detail;
+	if (kind == CELL_RECORD_CRASH && !unpack_crash(f, detail, &record))
+		return false;
 	cell_replay(cell, &record);
 	return true;
 }
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -85,6 +85,7 @@
 	CELL_RECORD_ENROLLED, /* orders may be sent to a minion */
 	CELL_RECORD_SETTLED,  /* no run is left on a minion */
 	CELL_RECORD_STATE,    /* terminal state of a job, in @run */
+	CELL_RECORD_CRASH,    /* a minion crashed under a run */
 	CELL_RECORD_KINDS
 };
 
@@ -92,12 +93,15 @@
 struct cell_record {
 	enum cell_record_kind kind;
 	const char *job;	/* CANCEL, STATE */
-	const char *task;	/* END */
-	uint64_t run;		/* END; STATE: the state */
+	const char *task;	/* END, CRASH */
+	uint64_t run;		/* END, CRASH; STATE: the state */
 	enum cell_end end;	/* END */
 	const char *checkpoint; /* END; NULL or empty: none */
 	const char *minion;
 	const char *addr; /* ENROLLED */
+	uint64_t age_ms;  /* CRASH: of the run */
+	uint32_t blame;	  /* CRASH: of the run, in thousandths */
+	uint32_t others;  /* CRASH: number of runs beside it */
 };
 
 /* A state change, for the log. */
@@ -107,7 +111,7 @@
 	const char *task; /* NULL: none */
 	const char *minion;
 	uint64_t run;
-	const char *detail; /* static, NULL: none */
+	const char *detail; /* valid during the call, NULL: none */
 	uint64_t age_ms;    /* of the job, run, step or request */
 	uint64_t input;	    /* measured value behind the decision, 0: none */
 	uint64_t value;
@@ -227,7 +231,8 @@
 	uint64_t questions;
 	uint64_t minions_lost; /* minions that were lost with runs on them */
 	uint64_t runs_lost;    /* runs that were lost with their minion */
-	uint32_t failing;      /* listed minions that do not respond */
+	uint64_t tasks_given_up;
+	uint32_t failing; /* listed minions that do not respond */
 	uint64_t used_cpu_milli;
 	uint64_t total_cpu_milli;
 };
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -20,6 +20,15 @@
 	enum cell_end end;
 };
 
+/* A crash of a minion under a run of a task. */
+struct cell_crash {
+	uint64_t run;
+	uint64_t age_ms; /* from its start to the crash */
+	uint32_t blame;	 /* share of the task, in thousandths */
+	uint32_t others; /* runs beside it */
+	char minion[CELL_NAME_MAX];
+};
+
 struct cell_task {
 	uint64_t run;		      /* of the latest start, 0: none */
 	struct cell_ended_run *ended; /* unordered */
@@ -31,6 +40,10 @@
 	uint8_t fails;
 	uint8_t percent;
 	char *checkpoint; /* latest, NULL: none */
+	struct cell_crash *crashes;
+	uint32_t crash_count;
+	uint64_t crash_seq;    /* record of the latest crash */
+	uint64_t isolation_ms; /* first reservation of a minion for it */
 };
 
 /* A placement ticket: the minion may run the step until it expires. */
@@ -50,6 +63,7 @@
 	uint32_t tasks_active; /* tasks with a run */
 	uint64_t *gang_failed; /* gang runs with a failed member */
 	uint32_t gang_failed_count;
+	uint32_t crashes; /* of all tasks */
 	uint64_t unblocked_ms;
 	bool unblocked; /* all steps it depends on are done */
 	bool in_ready_list;
@@ -123,7 +137,17 @@
 	bool contacted;	      /* has the fencing token of this term */
 	bool inherited;	      /* may have runs of an earlier term */
 	bool failing;	      /* the latest call to it failed */
-	uint64_t failing_ms;  /* since when, if failing */
+	uint64_t failing_ms;  /* when it last began to fail, 0: never */
+	uint64_t failing_run; /* the run that began last before that */
+	/* It failed as its connection broke or was refused, not by timeout. */
+	bool disconnected;
+	bool blamed;	   /* its runs, for the current failure */
+	uint64_t alive_ms; /* latest response */
+	uint64_t poll_sent_ms;
+	uint32_t poll_wait_ms;
+	/* No other start until then; the suspect that it is isolated for. */
+	uint64_t isolated_until_ms;
+	char isolated_task[CELL_TASK_MAX];
 	uint32_t polls_in_flight;
 	bool poll_now;		 /* at once, even if a long poll is in flight */
 	uint64_t unknown_job_ms; /* first end of an unknown job, 0: none */
@@ -152,6 +176,14 @@
 	UT_hash_handle hh; /* by id */
 };
 
+/* A minion that a step may use and that has free slots. */
+struct cell_candidate {
+	struct cell_minion *minion;
+	const struct cell_grant *grant; /* NULL: no ticket is needed */
+	uint32_t rank;			/* lower is better */
+	uint32_t free_cpu;
+};
+
 /* Index entry: a queue of the configuration by name. */
 struct cell_queue_ref {
 	const struct cell_queue_spec *queue;
@@ -220,6 +252,8 @@
 	uint64_t minions_tick_ms; /* latest tick of the minions */
 	bool minions_due;	  /* the next tick must not wait */
 	uint32_t unsettled;
+	double losses;	    /* minions lost of late, decaying */
+	uint64_t losses_ms; /* when the count was updated */
 	struct cell_step **ready;
 	uint32_t ready_count;
 	uint32_t ready_capacity;
@@ -270,6 +304,7 @@
 void cell_job_mark_started(struct cell_job *job);
 bool cell_end_apply(struct cell *cell, const struct cell_ended *end,
 		    uint32_t minion, uint64_t now_ms);
+void cell_job_fail(struct cell *cell, struct cell_job *job, uint64_t now_ms);
 void cell_job_stop_runs(struct cell *cell, struct cell_job *job,
 			uint64_t now_ms);
 void cell_gang_abort(struct cell *cell, struct cell_step *step, uint64_t run,
@@ -332,8 +367,34 @@
 bool cell_minion_suits(const struct cell *cell, const struct cell_minion *m,
 		       const struct cell_step *step,
 		       const struct cell_queue_spec *queue, uint64_t now_ms);
+void cell_task_start(struct cell *cell, struct cell_step *step, uint32_t index,
+		     const struct cell_candidate *c, uint64_t run,
+		     uint64_t now_ms);
 void cell_schedule(struct cell *cell, uint64_t now_ms);
 
+/* crash.c */
+bool cell_task_suspect(const struct cell_task *task);
+bool cell_step_suspect(const struct cell_step *step);
+void cell_crash_replay(struct cell *cell, const struct cell_record *record);
+void cell_crash_record(const struct cell_crash *crash, const char *task,
+		       struct cell_record *record);
+void cell_crash_clear(struct cell *cell, const char *name, uint64_t run);
+void cell_minion_clear_runs(struct cell *cell, const struct cell_minion *m);
+void cell_minion_blame_early(struct cell *cell, struct cell_minion *m,
+			     uint64_t now_ms);
+void cell_minion_blame(struct cell *cell, struct cell_minion *m,
+		       uint64_t now_ms);
+bool cell_step_give_up(struct cell *cell, struct cell_step *step,
+		       uint64_t now_ms);
+void cell_minion_note_failure(struct cell_minion *m);
+bool cell_minion_isolated_from(const struct cell_minion *m,
+			       const struct cell_step *step, uint64_t now_ms);
+void cell_start_suspects(struct cell *cell, struct cell_step *step,
+			 struct cell_candidate *candidates, uint32_t count,
+			 uint64_t now_ms);
+void cell_isolate_gang(struct cell_step *step, struct cell_minion *m,
+		       uint64_t now_ms);
+
 /* advice.c */
 bool cell_request_advice(struct cell *cell, struct cell_step *step,
 			 const struct cell_queue_spec *queue, uint64_t now_ms);
--- /dev/null
+++ b/lib/cell/crash.c
@@ -0,0 +1,594 @@
+/*
+ * Tasks that crash their minion. A minion that is lost takes all of its runs
+ * with it, of which at most one is the cause. Each of them gets a share of the
+ * blame, the larger the shorter it had run: nothing is known of the time from
+ * start to crash, so each order of magnitude is taken as equally likely. A part
+ * is left for causes other than runs, by the rate at which minions are lost.
+ *
+ * A suspect, a task with much blame or with repeated crashes, is started again
+ * only in isolation: on a minion without other runs if there is one, and with
+ * no other start there until it has run for a while. The next crash then shows
+ * whether it is the cause. Few minions are isolated at a time, so that suspects
+ * cannot take down many. A task that is the likely cause of repeated crashes is
+ * given up, and its job fails.
+ *
+ * Losses that no single task explains leave no blame: minions that fail at the
+ * same moment, as those of a rack without power, and minions that are silent
+ * until their lease ends, as those cut off by the network.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/cell_int.h"
+
+/* Blame is counted in thousandths of a crash. */
+#define BLAME_UNIT 1000
+/*
+ * Added to the age of a run, in ms: below it, delays of orders and polls hide
+ * which run began last.
+ */
+#define AGE_FLOOR_MS 20
+/* Natural logarithm of the range of times from start to crash: 10 ms to 100 s.
+ */
+#define AGE_LOG_RANGE 9.2
+/* Time constant of the rate at which minions are lost, in ms. */
+#define LOSS_WINDOW_MS 30000
+/*
+ * A task that has once run for longer than AGE_SPREAD times the age at which a
+ * crash took it, and a margin in ms, did not cause that crash.
+ */
+#define AGE_SPREAD 2
+#define AGE_MARGIN_MS 50
+/* Blame from which a task is suspected: the more likely cause than not. */
+#define SUSPECT_BLAME 500
+/* Crashes from which a task is suspected whatever its blame. */
+#define SUSPECT_CRASHES 2
+/*
+ * A task is given up once its blame reaches GIVE_UP_BLAME, which takes two
+ * crashes that hardly anything else explains, or more that it may have caused;
+ * and after GIVE_UP_CRASHES_MAX in any case.
+ */
+#define GIVE_UP_BLAME 1500
+#define GIVE_UP_CRASHES_MAX 5
+/*
+ * Minions that fail within this time of each other, in ms, fail for a common
+ * cause if there are COMMON_CAUSE_MINIONS of them: as connections break, and if
+ * polls time out.
+ */
+#define COMMON_CAUSE_MS 10
+#define COMMON_CAUSE_TIMEOUT_MS 2000
+#define COMMON_CAUSE_MINIONS 3
+/* One minion in this many may be isolated for suspects. */
+#define ISOLATION_SHARE 8
+/* How long a run in isolation keeps other starts from its minion, in ms. */
+#define ISOLATED_RUN_MS 1000
+/*
+ * How long a reservation for a suspect lasts, in ms: longer than the interval
+ * between two passes, which renew it.
+ */
+#define ISOLATION_RESERVED_MS 150
+/*
+ * A suspect that has waited this long for its minion to become empty starts
+ * beside the runs that are left there, in ms.
+ */
+#define ISOLATION_WAIT_MS 1500
+
+/* The crashes that a task may have caused. */
+struct evidence {
+	uint32_t count;
+	uint32_t blame;
+};
+
+static struct evidence get_evidence(const struct cell_task *task)
+{
+	struct evidence e = { 0 };
+	uint64_t survived_ms = 0;
+
+	for (uint32_t i = 0; i < task->crash_count; i++) {
+		if (task->crashes[i].age_ms > survived_ms)
+			survived_ms = task->crashes[i].age_ms;
+	}
+	for (uint32_t i = 0; i < task->crash_count; i++) {
+		const struct cell_crash *crash = &task->crashes[i];
+
+		if (crash->age_ms * AGE_SPREAD + AGE_MARGIN_MS < survived_ms)
+			continue;
+		e.count++;
+		e.blame += crash->blame;
+	}
+	return e;
+}
+
+/* Returns true if the task may start only in isolation. */
+bool cell_task_suspect(const struct cell_task *task)
+{
+	struct evidence e = get_evidence(task);
+
+	return e.count >= SUSPECT_CRASHES || e.blame >= SUSPECT_BLAME;
+}
+
+/* Returns true if the step has a suspect that is not done. */
+bool cell_step_suspect(const struct cell_step *step)
+{
+	for (uint32_t i = 0; i < step->spec->count && step->crashes; i++) {
+		if (step->tasks[i].state != CELL_TASK_DONE &&
+		    cell_task_suspect(&step->tasks[i]))
+			return true;
+	}
+	return false;
+}
+
+static bool must_give_up(const struct cell_task *task)
+{
+	return task->crash_count >= GIVE_UP_CRASHES_MAX ||
+	       get_evidence(task).blame >= GIVE_UP_BLAME;
+}
+
+static bool crash_known(const struct cell_task *task, uint64_t run)
+{
+	for (uint32_t i = 0; i < task->crash_count; i++) {
+		if (task->crashes[i].run == run)
+			return true;
+	}
+	return false;
+}
+
+/* Adds a crash to the task. Returns false if it has been added before. */
+static bool crash_add(struct cell_step *step, struct cell_task *task,
+		      const struct cell_crash *crash)
+{
+	if (crash_known(task, crash->run))
+		return false;
+	task->crashes = realloc(task->crashes, (task->crash_count + 1) *
+						       sizeof(*task->crashes));
+	if (!task->crashes)
+		abort();
+	task->crashes[task->crash_count++] = *crash;
+	step->crashes++;
+	if (crash->run > task->run)
+		task->run = crash->run;
+	return true;
+}
+
+/*
+ * Removes a crash under a run that has ended, or goes on: its minion had not
+ * crashed.
+ */
+void cell_crash_clear(struct cell *cell, const char *name, uint64_t run)
+{
+	struct cell_step *step;
+	struct cell_task *task = cell_task_find(cell, name, &step);
+
+	for (uint32_t i = 0; task && i < task->crash_count; i++) {
+		if (task->crashes[i].run != run)
+			continue;
+		task->crashes[i] = task->crashes[--task->crash_count];
+		step->crashes--;
+		return;
+	}
+}
+
+/* Replays a crash record of an earlier term. */
+void cell_crash_replay(struct cell *cell, const struct cell_record *record)
+{
+	struct cell_step *step;
+	struct cell_task *task = cell_task_find(cell, record->task, &step);
+	struct cell_crash crash = { .run = record->run,
+				    .age_ms = record->age_ms,
+				    .blame = record->blame,
+				    .others = record->others };
+
+	if (!task)
+		return;
+	snprintf(crash.minion, sizeof(crash.minion), "%s", record->minion);
+	crash_add(step, task, &crash);
+}
+
+/* Fills in the record of a crash of the task. */
+void cell_crash_record(const struct cell_crash *crash, const char *task,
+		       struct cell_record *record)
+{
+	*record = (struct cell_record){ .kind = CELL_RECORD_CRASH,
+					.task = task,
+					.run = crash->run,
+					.age_ms = crash->age_ms,
+					.blame = crash->blame,
+					.others = crash->others,
+					.minion = crash->minion };
+}
+
+/*
+ * Gives a task up: its job fails. The log names the minions that crashed under
+ * it, each with the number of runs beside it.
+ */
+static void give_up(struct cell *cell, struct cell_step *step, uint32_t index,
+		    uint64_t now_ms)
+{
+	const struct cell_task *task = &step->tasks[index];
+	char name[CELL_TASK_MAX];
+	char detail[GIVE_UP_CRASHES_MAX * (CELL_NAME_MAX + 16)] = "";
+	size_t len = 0;
+
+	for (uint32_t i = 0;
+	     i < task->crash_count && len + CELL_NAME_MAX + 16 < sizeof(detail);
+	     i++)
+		len += (size_t)snprintf(detail + len, sizeof(detail) - len,
+					"%s%s beside %u", i ? ", " : "",
+					task->crashes[i].minion,
+					task->crashes[i].others);
+	cell_step_name(step, index, name);
+	cell->stats.tasks_given_up++;
+	cell_event(cell,
+		   &(struct cell_event){ .what = "task-given-up",
+					 .task = name,
+					 .minion = NULL,
+					 .run = task->run,
+					 .detail = detail,
+					 .age_ms = now_ms - step->unblocked_ms,
+					 .input = get_evidence(task).blame,
+					 .value = task->crash_count });
+	cell_job_fail(cell, step->job, now_ms);
+}
+
+/* Returns how long the run had run at @at_ms, in ms. */
+static uint64_t run_age_ms(const struct cell_run *run, uint64_t at_ms)
+{
+	return at_ms > run->sent_ms ? at_ms - run->sent_ms : 0;
+}
+
+/* Weight of a run in the blame for a crash; gang members share one. */
+static double blame_weight(const struct cell_run *run, uint64_t at_ms)
+{
+	return 1.0 / (double)(run_age_ms(run, at_ms) + AGE_FLOOR_MS);
+}
+
+static bool is_first_of_run(const struct cell_minion *m, uint32_t at)
+{
+	for (uint32_t i = 0; i < at; i++) {
+		if (m->runs[i].run == m->runs[at].run)
+			return false;
+	}
+	return true;
+}
+
+static const struct cell_run *youngest_run(const struct cell_minion *m)
+{
+	const struct cell_run *youngest = NULL;
+
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		if (!youngest || m->runs[i].sent_ms > youngest->sent_ms)
+			youngest = &m->runs[i];
+	}
+	return youngest;
+}
+
+static uint64_t distance(uint64_t a, uint64_t b)
+{
+	return a > b ? a - b : b - a;
+}
+
+/*
+ * Returns true if so many minions failed at the same time that no single run
+ * can be the cause. A gang is one: it may crash the minions of all its members.
+ */
+static bool has_common_cause(const struct cell *cell,
+			     const struct cell_minion *m)
+{
+	uint64_t window =
+		m->disconnected ? COMMON_CAUSE_MS : COMMON_CAUSE_TIMEOUT_MS;
+	const struct cell_run *youngest = youngest_run(m);
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		const struct cell_minion *other = cell->minions[i];
+
+		if (!other->used || !other->failing_ms ||
+		    other->disconnected != m->disconnected ||
+		    distance(other->failing_ms, m->failing_ms) > window)
+			continue;
+		if (other == m || other->failing_run != youngest->run)
+			n++;
+	}
+	return n >= COMMON_CAUSE_MINIONS;
+}
+
+/* Adds a crash under a run to its task and to the journal. */
+static void blame_run(struct cell *cell, const struct cell_minion *m,
+		      const struct cell_run *run, uint32_t blame,
+		      uint64_t at_ms, uint64_t now_ms)
+{
+	struct cell_step *step;
+	struct cell_task *task = cell_task_find(cell, run->task, &step);
+	struct cell_record record;
+	struct cell_crash crash = { .run = run->run,
+				    .age_ms = run_age_ms(run, at_ms),
+				    .blame = blame,
+				    .others = m->run_count - 1 };
+
+	memcpy(crash.minion, m->info.id, sizeof(crash.minion));
+	if (!task || task->state == CELL_TASK_DONE ||
+	    step->job->final_state != CELL_JOB_UNKNOWN ||
+	    !crash_add(step, task, &crash))
+		return;
+	cell_crash_record(&task->crashes[task->crash_count - 1], run->task,
+			  &record);
+	step->job->pending_records++;
+	task->crash_seq = cell_record_add(cell, &record, step->job->spec.id,
+					  NULL, 0, now_ms);
+}
+
+/* Returns the rate at which a minion is lost, per ms. */
+static double loss_rate(const struct cell *cell, uint64_t now_ms)
+{
+	double passed = (double)(now_ms - cell->losses_ms);
+	uint32_t n = 1;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++)
+		n += cell->minions[i]->used;
+	return (cell->losses * exp(-passed / LOSS_WINDOW_MS) + 1) /
+	       ((double)LOSS_WINDOW_MS * n);
+}
+
+/* Counts a lost minion; the count decays exponentially. */
+static void count_loss(struct cell *cell, uint64_t now_ms)
+{
+	double passed = (double)(now_ms - cell->losses_ms);
+
+	cell->losses = cell->losses * exp(-passed / LOSS_WINDOW_MS) + 1;
+	cell->losses_ms = now_ms;
+}
+
+/* Divides the blame for a crash among the runs of the minion. */
+static void blame_runs(struct cell *cell, const struct cell_minion *m,
+		       uint64_t now_ms)
+{
+	/*
+	 * If polls timed out, the crash was at some time since the last
+	 * response, so runs that were started since are equally suspect.
+	 */
+	uint64_t at_ms = m->disconnected ? m->failing_ms : m->alive_ms;
+	double total = loss_rate(cell, now_ms) * AGE_LOG_RANGE;
+
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		if (is_first_of_run(m, i))
+			total += blame_weight(&m->runs[i], at_ms);
+	}
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		double share = blame_weight(&m->runs[i], at_ms) / total;
+
+		blame_run(cell, m, &m->runs[i], (uint32_t)(share * BLAME_UNIT),
+			  at_ms, now_ms);
+	}
+}
+
+/* Removes the crashes under the runs of a minion, which had another cause. */
+void cell_minion_clear_runs(struct cell *cell, const struct cell_minion *m)
+{
+	for (uint32_t i = 0; i < m->run_count; i++)
+		cell_crash_clear(cell, m->runs[i].task, m->runs[i].run);
+}
+
+/* Notes which run began last on a minion that fails. */
+void cell_minion_note_failure(struct cell_minion *m)
+{
+	const struct cell_run *youngest = youngest_run(m);
+
+	m->failing_run = youngest ? youngest->run : 0;
+	m->blamed = false;
+}
+
+/*
+ * Blames the runs of a minion whose connection broke, as soon as it is known
+ * whether others failed at the same time. It is found to be replaced, or alive,
+ * only seconds later; until then a holder that takes over would not know the
+ * crash. If the minion is alive, the runs are cleared.
+ */
+void cell_minion_blame_early(struct cell *cell, struct cell_minion *m,
+			     uint64_t now_ms)
+{
+	if (!m->failing || !m->disconnected || m->blamed ||
+	    now_ms <= m->failing_ms + COMMON_CAUSE_MS)
+		return;
+	m->blamed = true;
+	if (m->run_count && !has_common_cause(cell, m))
+		blame_runs(cell, m, now_ms);
+}
+
+/*
+ * Blames the runs of a minion that has crashed, and gives up the tasks that are
+ * the likely cause.
+ */
+void cell_minion_blame(struct cell *cell, struct cell_minion *m,
+		       uint64_t now_ms)
+{
+	if (!m->run_count)
+		return;
+	count_loss(cell, now_ms);
+	if (has_common_cause(cell, m)) {
+		cell_minion_clear_runs(cell, m);
+		return;
+	}
+	blame_runs(cell, m, now_ms);
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		const struct cell_run *run = &m->runs[i];
+		struct cell_step *step;
+		const struct cell_task *task =
+			cell_task_find(cell, run->task, &step);
+
+		if (!task || !cell_task_suspect(task))
+			continue;
+		cell_event(cell, &(struct cell_event){
+					 .what = "task-suspected",
+					 .task = run->task,
+					 .minion = m->info.id,
+					 .run = run->run,
+					 .input = get_evidence(task).blame,
+					 .value = task->crash_count });
+	}
+}
+
+/*
+ * Gives up the tasks of the step that are the likely cause of repeated crashes.
+ * Returns true if the job has failed.
+ */
+bool cell_step_give_up(struct cell *cell, struct cell_step *step,
+		       uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < step->spec->count && step->crashes; i++) {
+		const struct cell_task *task = &step->tasks[i];
+
+		if (task->state != CELL_TASK_READY || !must_give_up(task))
+			continue;
+		give_up(cell, step, i, now_ms);
+		return true;
+	}
+	return false;
+}
+
+/* Returns true if the minion takes no starts but that of its suspect. */
+static bool is_isolated(const struct cell_minion *m, uint64_t now_ms)
+{
+	return now_ms < m->isolated_until_ms;
+}
+
+/* Returns true if the minion is isolated for a task of another step. */
+bool cell_minion_isolated_from(const struct cell_minion *m,
+			       const struct cell_step *step, uint64_t now_ms)
+{
+	char prefix[CELL_TASK_MAX];
+
+	if (!is_isolated(m, now_ms))
+		return false;
+	cell_step_name(step, 0, prefix);
+	return strncmp(m->isolated_task, prefix, strlen(prefix) - 1) != 0;
+}
+
+/* Returns how many minions may be isolated at a time. */
+static uint32_t isolation_limit(const struct cell *cell)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++)
+		n += cell->minions[i]->used && cell->minions[i]->listed;
+	return n < 2 * ISOLATION_SHARE ? 1 : n / ISOLATION_SHARE;
+}
+
+/*
+ * Returns how many minions are isolated, or are down under a run that was
+ * started in isolation.
+ */
+static uint32_t isolation_count(const struct cell *cell, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		const struct cell_minion *m = cell->minions[i];
+
+		n += m->used &&
+		     (is_isolated(m, now_ms) ||
+		      (m->failing && m->isolated_task[0] && m->run_count));
+	}
+	return n;
+}
+
+/*
+ * Selects the minion for a suspect: the one that is reserved for it, else an
+ * empty one, else the one with the least CPU in use.
+ */
+static struct cell_candidate *select_isolated(struct cell_candidate *c,
+					      uint32_t count, const char *task,
+					      uint64_t now_ms)
+{
+	struct cell_candidate *best = NULL;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct cell_minion *m = c[i].minion;
+
+		if (!m->free_slots)
+			continue;
+		if (is_isolated(m, now_ms)) {
+			if (!strcmp(m->isolated_task, task))
+				return &c[i];
+			continue;
+		}
+		if (!best || m->held.cpu_milli < best->minion->held.cpu_milli ||
+		    (!m->run_count && best->minion->run_count))
+			best = &c[i];
+	}
+	return best;
+}
+
+static void isolate(struct cell_minion *m, const char *task, uint64_t until_ms)
+{
+	snprintf(m->isolated_task, sizeof(m->isolated_task), "%s", task);
+	m->isolated_until_ms = until_ms;
+}
+
+/*
+ * Starts a suspect on a minion of its own, or reserves one. Its crashes have to
+ * be durable first: a successor has to know them.
+ */
+static void start_suspect(struct cell *cell, struct cell_step *step,
+			  uint32_t index, struct cell_candidate *candidates,
+			  uint32_t count, uint64_t now_ms)
+{
+	struct cell_task *task = &step->tasks[index];
+	char name[CELL_TASK_MAX];
+	struct cell_candidate *to;
+	struct cell_minion *m;
+
+	if (cell->durable_seq < task->crash_seq)
+		return;
+	cell_step_name(step, index, name);
+	to = select_isolated(candidates, count, name, now_ms);
+	if (!to)
+		return;
+	m = to->minion;
+	if (!is_isolated(m, now_ms)) {
+		if (isolation_count(cell, now_ms) >= isolation_limit(cell))
+			return;
+		task->isolation_ms = now_ms;
+	}
+	if (m->run_count && now_ms < task->isolation_ms + ISOLATION_WAIT_MS) {
+		isolate(m, name, now_ms + ISOLATION_RESERVED_MS);
+		return;
+	}
+	isolate(m, name, now_ms + ISOLATED_RUN_MS);
+	m->free_slots = 0;
+	cell_task_start(cell, step, index, to, cell->next_run++, now_ms);
+}
+
+/*
+ * Starts the suspects of a step that is no gang, each in isolation, and removes
+ * isolated minions from the candidates for its other tasks.
+ */
+void cell_start_suspects(struct cell *cell, struct cell_step *step,
+			 struct cell_candidate *candidates, uint32_t count,
+			 uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		if (step->tasks[i].state == CELL_TASK_READY &&
+		    cell_task_suspect(&step->tasks[i]))
+			start_suspect(cell, step, i, candidates, count, now_ms);
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		if (is_isolated(candidates[i].minion, now_ms))
+			candidates[i].minion->free_slots = 0;
+	}
+}
+
+/*
+ * Isolates the minions of a gang with a suspect that is about to start. It
+ * starts beside other runs, as it would wait long for so many empty minions;
+ * its members then began last and get the blame for a crash.
+ */
+void cell_isolate_gang(struct cell_step *step, struct cell_minion *m,
+		       uint64_t now_ms)
+{
+	char name[CELL_TASK_MAX];
+
+	cell_step_name(step, 0, name);
+	isolate(m, name, now_ms + ISOLATED_RUN_MS);
+}
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -231,6 +231,7 @@
 			for (uint32_t t = 0; t < step->spec->count; t++) {
 				free(step->tasks[t].checkpoint);
 				free(step->tasks[t].ended);
+				free(step->tasks[t].crashes);
 			}
 			free(step->gang_failed);
 			free(step->tasks);
@@ -431,6 +432,18 @@
 	cell_job_stop_runs(cell, job, now_ms);
 }
 
+/* Fails a job for another reason than the ends of its runs. */
+void cell_job_fail(struct cell *cell, struct cell_job *job, uint64_t now_ms)
+{
+	set_final_state(cell, job, CELL_JOB_FAILED, now_ms);
+	job->pending_records++;
+	cell_record_add(cell,
+			&(struct cell_record){ .kind = CELL_RECORD_STATE,
+					       .job = job->spec.id,
+					       .run = CELL_JOB_FAILED },
+			job->spec.id, NULL, 0, now_ms);
+}
+
 /*
  * Cancels a job. Returns the sequence number of the record that has to become
  * durable before the cancel is acknowledged, 0 if there is none, and UINT64_MAX
@@ -646,6 +659,7 @@
 	if (!task || cell_task_ended(task, end->run))
 		return false;
 	add_ended_run(task, end->run, end->end);
+	cell_crash_clear(cell, end->task, end->run);
 	if (end->run > task->run)
 		task->run = end->run;
 	cell_job_mark_started(step->job);
@@ -689,6 +703,9 @@
 		if (job && record->run < CELL_JOB_STATES)
 			job->final_state = (enum cell_job_state)record->run;
 		break;
+	case CELL_RECORD_CRASH:
+		cell_crash_replay(cell, record);
+		break;
 	case CELL_RECORD_KINDS:
 		break;
 	}
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -30,6 +30,11 @@
 #define MINIONS_TICK_MS 4
 /* Decay of the failure score of a minion at each end of a run. */
 #define FAIL_SCORE_DECAY 0.7
+/*
+ * A poll that fails earlier than this after its long-poll time did not time
+ * out, in ms.
+ */
+#define POLL_TIMEOUT_MIN_MS 400
 /* Score of a suspected minion: reached by three failures in a row. */
 #define FAIL_SCORE_SUSPECT 2.1
 /* How long a suspected minion gets no work, in ms. */
@@ -217,6 +222,8 @@
 	if (m->last_end_durable == m->last_end_handled && !m->poll_now)
 		out->wait_ms = cell_minion_poll_wait_ms(cell, m);
 	m->poll_now = false;
+	m->poll_sent_ms = now_ms;
+	m->poll_wait_ms = out->wait_ms;
 	if (cell->valid && m->clock_known)
 		out->deadline_ms = cell_minion_renew_lease(cell, m, now_ms);
 	return true;
@@ -235,11 +242,18 @@
 			NULL, m, 0, now_ms);
 }
 
-/* Marks a minion as not responding; its runs may go on. */
-static void set_failing(struct cell_minion *m, uint64_t now_ms)
+/*
+ * Marks a minion as not responding; its runs may go on. @disconnected means
+ * that its connection broke or was refused.
+ */
+static void set_failing(struct cell_minion *m, bool disconnected,
+			uint64_t now_ms)
 {
-	if (!m->failing)
+	if (!m->failing) {
 		m->failing_ms = now_ms;
+		m->disconnected = disconnected;
+		cell_minion_note_failure(m);
+	}
 	m->failing = true;
 }
 
@@ -259,17 +273,17 @@
 	for (uint32_t i = 0; i < m->run_count; i++) {
 		const struct cell_run *run = &m->runs[i];
 
-		cell_event(cell, &(struct cell_event){
-					 .what = "run-lost",
-					 .task = run->task,
-					 .minion = m->info.id,
-					 .run = run->run,
-					 .detail = why,
-					 .age_ms = failed_ms > run->sent_ms
-							   ? failed_ms -
-								     run->sent_ms
-							   : 0,
-					 .value = m->run_count - 1 });
+		cell_event(cell,
+			   &(struct cell_event){
+				   .what = "run-lost",
+				   .task = run->task,
+				   .minion = m->info.id,
+				   .run = run->run,
+				   .detail = why,
+				   .age_ms = failed_ms > run->sent_ms
+						     ? failed_ms - run->sent_ms
+						     : 0,
+				   .value = m->run_count - 1 });
 	}
 }
 
@@ -306,6 +320,8 @@
 	m->incarnation++;
 	m->last_end_handled = 0;
 	m->last_end_durable = 0;
+	m->isolated_until_ms = 0;
+	m->isolated_task[0] = '\0';
 	cell->dirty = true;
 	cell_event(cell, &(struct cell_event){ .what = "minion-settled",
 					       .minion = m->info.id,
@@ -508,6 +524,7 @@
 	struct cell_task *task = cell_task_find(cell, row->task, &step);
 	struct cell_run *run;
 
+	cell_crash_clear(cell, row->task, row->run);
 	run = cell_run_add(m, row->task, row->run,
 			   cell_step_spec_find(cell, row->task), &held, now_ms);
 	run->acked_ms = now_ms;
@@ -623,11 +640,17 @@
 		return;
 	m->polls_in_flight -= m->polls_in_flight > 0;
 	if (m->born_unix_ms && report->born_unix_ms &&
-	    m->born_unix_ms != report->born_unix_ms)
+	    m->born_unix_ms != report->born_unix_ms) {
+		set_failing(m, false, now_ms);
+		cell_minion_blame(cell, m, now_ms);
 		minion_settle(cell, m, "another life", now_ms);
+	}
 	if (report->born_unix_ms)
 		m->born_unix_ms = report->born_unix_ms;
+	if (m->failing)
+		cell_minion_clear_runs(cell, m);
 	m->failing = false;
+	m->alive_ms = now_ms;
 	m->clock_known = true;
 	m->anchor_clock_ms = report->clock_ms;
 	m->anchor_ms = now_ms;
@@ -660,18 +683,22 @@
 		m->next_poll_ms +=
 			m->listed ? POLL_RETRY_MS : POLL_RETRY_SLOW_MS;
 	if (result == CELL_OTHER_INCARNATION) {
+		set_failing(m, false, now_ms);
+		cell_minion_blame(cell, m, now_ms);
 		if (m->enrolled || m->run_count || m->inherited)
 			minion_settle(cell, m, "replaced", now_ms);
-		set_failing(m, now_ms);
 		m->next_poll_ms = now_ms + POLL_RETRY_SLOW_MS;
 		return;
 	}
 	if (!m->failing)
-		cell_event(cell,
-			   &(struct cell_event){ .what = "minion-silent",
-						 .minion = m->info.id,
-						 .value = m->run_count });
-	set_failing(m, now_ms);
+		cell_event(cell, &(struct cell_event){ .what = "minion-silent",
+						       .minion = m->info.id,
+						       .value = m->run_count });
+	set_failing(m,
+		    result == CELL_NOT_SENT ||
+			    now_ms < m->poll_sent_ms + m->poll_wait_ms +
+					     POLL_TIMEOUT_MIN_MS,
+		    now_ms);
 }
 
 static void handle_start_rejected(struct cell *cell, struct cell_minion *m,
@@ -706,6 +733,7 @@
 	if (!r)
 		return;
 	if (result == CELL_OK) {
+		m->alive_ms = now_ms;
 		if (!r->acked_ms)
 			r->acked_ms = now_ms;
 		if (cell_task_find(cell, task, &step))
@@ -719,7 +747,7 @@
 					       .value = (uint64_t)result });
 	if (result != CELL_NO_ANSWER) {
 		if (result == CELL_NOT_SENT || result == CELL_OTHER_INCARNATION)
-			set_failing(m, now_ms);
+			set_failing(m, true, now_ms);
 		handle_start_rejected(cell, m, r, result, now_ms);
 		return;
 	}
@@ -769,8 +797,12 @@
 {
 	bool leased = now_ms < m->lease_until_ms;
 
-	if (m->failing && m->enrolled && !leased && !m->inherited)
+	if (m->failing && m->enrolled && !leased && !m->inherited) {
+		/* A process that is cut off is not disconnected: it may run. */
+		if (m->disconnected)
+			cell_minion_blame(cell, m, now_ms);
 		minion_settle(cell, m, "lease ended", now_ms);
+	}
 	if (m->inherited && now_ms >= m->settle_deadline_ms)
 		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
 	else if (m->inherited && !m->listed && cell->minions_listed &&
@@ -785,6 +817,7 @@
 			return;
 		}
 	}
+	cell_minion_blame_early(cell, m, now_ms);
 	if (m->drain_ms && cell->valid)
 		cell_minion_evacuate(cell, m, now_ms);
 	retry_stops(cell, m, now_ms);
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -12,13 +12,6 @@
 #define RANK_NO_AFFINITY 2
 #define RANK_RESERVED 4
 
-struct candidate {
-	struct cell_minion *minion;
-	const struct cell_grant *grant; /* NULL: no ticket is needed */
-	uint32_t rank;			/* lower is better */
-	uint32_t free_cpu;
-};
-
 /* Returns the resources that a task of the step holds on a minion. */
 struct cell_res cell_step_held(const struct cell_step_spec *spec)
 {
@@ -99,8 +92,8 @@
 
 static int compare_rank(const void *a, const void *b)
 {
-	const struct candidate *x = a;
-	const struct candidate *y = b;
+	const struct cell_candidate *x = a;
+	const struct cell_candidate *y = b;
 
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
@@ -122,16 +115,17 @@
 }
 
 static void add_candidate(const struct cell_step *step, struct cell_minion *m,
-			  const struct cell_grant *grant, struct candidate *out,
-			  uint32_t *count, uint64_t now_ms)
+			  const struct cell_grant *grant,
+			  struct cell_candidate *out, uint32_t *count,
+			  uint64_t now_ms)
 {
-	struct candidate *c;
+	struct cell_candidate *c;
 
 	m->free_slots = cell_fit(m, step);
 	if (!m->free_slots)
 		return;
 	c = &out[(*count)++];
-	*c = (struct candidate){ .minion = m, .grant = grant };
+	*c = (struct cell_candidate){ .minion = m, .grant = grant };
 	c->free_cpu = m->info.capacity.cpu_milli - m->held.cpu_milli;
 	/*
 	 * Best-effort tasks prefer the minion with the most free CPU, others
@@ -153,7 +147,7 @@
  */
 static uint32_t collect_candidates(struct cell *cell, struct cell_step *step,
 				   const struct cell_queue_spec *queue,
-				   struct candidate *out, bool *yielded,
+				   struct cell_candidate *out, bool *yielded,
 				   uint64_t now_ms)
 {
 	uint32_t rows =
@@ -169,7 +163,8 @@
 		if (g && (m->incarnation != g->incarnation ||
 			  g->until_ms < now_ms + TICKET_MARGIN_MS))
 			continue;
-		if (!cell_minion_suits(cell, m, step, queue, now_ms))
+		if (!cell_minion_suits(cell, m, step, queue, now_ms) ||
+		    cell_minion_isolated_from(m, step, now_ms))
 			continue;
 		if (cell_step_yields(cell, m, step, queue, now_ms))
 			*yielded = true;
@@ -180,9 +175,10 @@
 	return n;
 }
 
-static void start_task(struct cell *cell, struct cell_step *step,
-		       uint32_t index, const struct candidate *c, uint64_t run,
-		       uint64_t now_ms)
+/* Starts a task on a candidate, whose free slots the caller counts. */
+void cell_task_start(struct cell *cell, struct cell_step *step, uint32_t index,
+		     const struct cell_candidate *c, uint64_t run,
+		     uint64_t now_ms)
 {
 	struct cell_task *task = &step->tasks[index];
 	struct cell_minion *m = c->minion;
@@ -225,11 +221,11 @@
  * Selects the candidate for a task, or NULL. The minion of the latest failure
  * is the last resort.
  */
-static const struct candidate *select_candidate(const struct candidate *c,
-						uint32_t count,
-						const struct cell_task *task)
+static const struct cell_candidate *
+select_candidate(const struct cell_candidate *c, uint32_t count,
+		 const struct cell_task *task)
 {
-	const struct candidate *fallback = NULL;
+	const struct cell_candidate *fallback = NULL;
 
 	for (uint32_t i = 0; i < count; i++) {
 		if (!c[i].minion->free_slots)
@@ -242,7 +238,7 @@
 	return fallback;
 }
 
-static uint32_t total_slots(const struct candidate *c, uint32_t count)
+static uint32_t total_slots(const struct cell_candidate *c, uint32_t count)
 {
 	uint32_t n = 0;
 
@@ -252,7 +248,7 @@
 }
 
 /* Returns the free slots of the candidates in a rack. */
-static uint32_t rack_slots(const struct candidate *c, uint32_t count,
+static uint32_t rack_slots(const struct cell_candidate *c, uint32_t count,
 			   const char *rack)
 {
 	uint32_t n = 0;
@@ -281,8 +277,8 @@
  * Keeps all candidates if that rack has too few. Returns how many are kept.
  */
 static uint32_t filter_rack(const struct cell *cell,
-			    const struct cell_step *step, struct candidate *c,
-			    uint32_t count)
+			    const struct cell_step *step,
+			    struct cell_candidate *c, uint32_t count)
 {
 	const char *rack = step_rack(cell, step);
 	uint32_t slots = rack ? rack_slots(c, count, rack) : 0;
@@ -311,9 +307,11 @@
  * all. Returns false if it is a gang that waits for free slots.
  */
 static bool place_tasks(struct cell *cell, struct cell_step *step,
-			struct candidate *c, uint32_t count, uint64_t now_ms)
+			struct cell_candidate *c, uint32_t count,
+			uint64_t now_ms)
 {
 	bool gang = step->spec->gang;
+	bool suspect = cell_step_suspect(step);
 	uint64_t run = cell->next_run;
 
 	if (gang && step->tasks_active)
@@ -321,17 +319,21 @@
 	if (gang && total_slots(c, count) < step->tasks_left)
 		return false;
 	for (uint32_t i = 0; i < step->spec->count; i++) {
-		const struct candidate *to;
+		const struct cell_candidate *to;
 
 		if (step->tasks[i].state != CELL_TASK_READY)
 			continue;
+		if (suspect && !gang && cell_task_suspect(&step->tasks[i]))
+			continue;
 		to = select_candidate(c, count, &step->tasks[i]);
 		if (!to)
 			return true;
 		to->minion->free_slots--;
 		if (!gang)
 			run = cell->next_run++;
-		start_task(cell, step, i, to, run, now_ms);
+		cell_task_start(cell, step, i, to, run, now_ms);
+		if (suspect && gang)
+			cell_isolate_gang(step, to->minion, now_ms);
 	}
 	if (gang)
 		cell->next_run++;
@@ -368,7 +370,7 @@
 }
 
 static void schedule_step(struct cell *cell, const struct ready_entry *entry,
-			  struct candidate *candidates, uint64_t now_ms)
+			  struct cell_candidate *candidates, uint64_t now_ms)
 {
 	struct cell_step *step = entry->step;
 	bool yielded;
@@ -380,8 +382,12 @@
 	 */
 	if (step->job->inherited && (cell->unsettled || !cell->minions_listed))
 		return;
+	if (cell_step_give_up(cell, step, now_ms))
+		return;
 	n = collect_candidates(cell, step, entry->queue, candidates, &yielded,
 			       now_ms);
+	if (!step->spec->gang && cell_step_suspect(step))
+		cell_start_suspects(cell, step, candidates, n, now_ms);
 	if (step->spec->same_rack)
 		n = filter_rack(cell, step, candidates, n);
 	if (!place_tasks(cell, step, candidates, n, now_ms))
@@ -396,7 +402,7 @@
 void cell_schedule(struct cell *cell, uint64_t now_ms)
 {
 	struct ready_entry *entries;
-	struct candidate *candidates;
+	struct cell_candidate *candidates;
 	uint32_t kept = 0;
 	uint32_t n = 0;
 
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -25,6 +25,12 @@
 					.end = past->end,
 					.checkpoint = task->checkpoint });
 	}
+	for (uint32_t i = 0; i < task->crash_count; i++) {
+		struct cell_record record;
+
+		cell_crash_record(&task->crashes[i], name, &record);
+		e->emit(e->ctx, &record);
+	}
 }
 
 static void emit_job(const struct snapshot_sink *e, const struct cell_job *job)
@@ -40,6 +46,11 @@
 		e->emit(e->ctx,
 			&(struct cell_record){ .kind = CELL_RECORD_CANCEL,
 					       .job = job->spec.id });
+	else if (job->final_state == CELL_JOB_FAILED)
+		e->emit(e->ctx,
+			&(struct cell_record){ .kind = CELL_RECORD_STATE,
+					       .job = job->spec.id,
+					       .run = CELL_JOB_FAILED });
 	for (uint32_t i = 0; i < job->occurrence_count; i++) {
 		for (uint32_t s = 0; s < job->spec.step_count; s++) {
 			const struct cell_step *step =
