Contain queues whose tasks crash minions

What callers saw: with 30% of the short jobs crashing their minion no queue was served, and service did not come back: 14 first starts a second, each taking a minion for 3.3 s, are more than 48 minions, whatever is done about repeated ones.

Change: lib/cell/contain.c. Once a sixth of the minions is down under a queue, its tasks start on a quarter of the minions only, which other queues leave to it; the more of its jobs crash, the fewer run side by side. Idle minions are lent to it. Of a contained queue only as many steps are placed in a pass as there is room for: its backlog took all of the twelve advice requests of a pass. Jobs that can still be in time go first.

Suspects start by blame, the least first, and only failures that no young run explains count for a common cause: suspects that start in the same pass crash at the same time.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -1177,8 +1177,11 @@
 static void on_rack_crash(struct cellsim *s, struct event *e)
 {
 	uint32_t racks = s->settings->minions / CELLSIM_RACK_MINIONS;
-	uint32_t first = (uint32_t)(draw(s) % racks) * CELLSIM_RACK_MINIONS;
+	uint32_t first;
 
+	if (!racks)
+		return;
+	first = (uint32_t)(draw(s) % racks) * CELLSIM_RACK_MINIONS;
 	for (uint32_t i = 0; i < CELLSIM_RACK_MINIONS; i++)
 		crash_minion(s, &s->minions[first + i]);
 	event_push(s, e, draw_around(s, s->settings->rack_crash_every_ms));
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -56,6 +56,7 @@
 	queue_index_free(cell);
 	free(cell->ready);
 	free(cell->pending);
+	free(cell->contained);
 	free(cell);
 }
 
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -112,6 +112,7 @@
 	uint64_t sent_ms;
 	uint64_t acked_ms; /* start acknowledged, 0: not yet */
 	bool job_unknown;  /* the holder does not know the job */
+	bool isolated;	   /* of a suspect, started in isolation */
 	bool stopping;
 	bool stop_in_flight;
 	uint64_t next_stop_ms;	/* next attempt */
@@ -139,6 +140,7 @@
 	bool failing;	      /* the latest call to it failed */
 	uint64_t failing_ms;  /* when it last began to fail, 0: never */
 	uint64_t failing_run; /* the run that began last before that */
+	bool explained;	      /* that run explains the failure */
 	/* It failed as its connection broke or was refused, not by timeout. */
 	bool disconnected;
 	bool blamed;	   /* its runs, for the current failure */
@@ -148,6 +150,10 @@
 	/* No other start until then; the suspect that it is isolated for. */
 	uint64_t isolated_until_ms;
 	char isolated_task[CELL_TASK_MAX];
+	/* Containment: the queue whose set it is in, or under which it failed.
+	 */
+	char contained_queue[CELL_NAME_MAX]; /* empty: none */
+	char down_queue[CELL_NAME_MAX];	     /* empty: none */
 	uint32_t polls_in_flight;
 	bool poll_now;		 /* at once, even if a long poll is in flight */
 	uint64_t unknown_job_ms; /* first end of an unknown job, 0: none */
@@ -176,6 +182,18 @@
 	UT_hash_handle hh; /* by id */
 };
 
+/* A queue whose tasks have crashed minions. */
+struct cell_contained {
+	char queue[CELL_NAME_MAX];
+	char service[CELL_NAME_MAX];
+	bool active;
+	uint64_t crash_ms; /* latest crash */
+	uint32_t room;	   /* jobs that may be placed in this pass */
+	double starts;	   /* of jobs, of late, decaying */
+	double crashes;	   /* by them */
+	uint64_t counted_ms;
+};
+
 /* A minion that a step may use and that has free slots. */
 struct cell_candidate {
 	struct cell_minion *minion;
@@ -254,6 +272,9 @@
 	uint32_t unsettled;
 	double losses;	    /* minions lost of late, decaying */
 	uint64_t losses_ms; /* when the count was updated */
+	struct cell_contained *contained;
+	uint32_t contained_count;
+	uint32_t contained_active;
 	struct cell_step **ready;
 	uint32_t ready_count;
 	uint32_t ready_capacity;
@@ -374,6 +395,7 @@
 
 /* crash.c */
 bool cell_task_suspect(const struct cell_task *task);
+uint32_t cell_task_crashes(const struct cell_task *task);
 bool cell_step_suspect(const struct cell_step *step);
 void cell_crash_replay(struct cell *cell, const struct cell_record *record);
 void cell_crash_record(const struct cell_crash *crash, const char *task,
@@ -387,14 +409,34 @@
 bool cell_step_give_up(struct cell *cell, struct cell_step *step,
 		       uint64_t now_ms);
 void cell_minion_note_failure(struct cell_minion *m);
+
+/* isolate.c */
 bool cell_minion_isolated_from(const struct cell_minion *m,
 			       const struct cell_step *step, uint64_t now_ms);
+bool cell_isolation_possible(const struct cell *cell,
+			     const struct cell_step *step, uint64_t now_ms);
+bool cell_crashes_durable(const struct cell *cell,
+			  const struct cell_step *step);
+uint32_t cell_suspect_crashes(const struct cell_step *step);
 void cell_start_suspects(struct cell *cell, struct cell_step *step,
 			 struct cell_candidate *candidates, uint32_t count,
 			 uint64_t now_ms);
 void cell_isolate_gang(struct cell_step *step, struct cell_minion *m,
 		       uint64_t now_ms);
 
+/* contain.c */
+void cell_contain_crash(struct cell *cell, struct cell_minion *m,
+			const struct cell_run *run, uint64_t now_ms);
+void cell_contain_update(struct cell *cell, uint64_t now_ms);
+bool cell_contain_permits(const struct cell *cell, const struct cell_minion *m,
+			  const char *queue);
+bool cell_contain_admits(struct cell *cell, const struct cell_step *step);
+bool cell_contain_full(const struct cell *cell, const struct cell_minion *m,
+		       const struct cell_job *job);
+void cell_contain_start(struct cell *cell, const struct cell_job *job,
+			uint64_t now_ms);
+bool cell_contain_active(const struct cell *cell, const char *queue);
+
 /* advice.c */
 bool cell_request_advice(struct cell *cell, struct cell_step *step,
 			 const struct cell_queue_spec *queue, uint64_t now_ms);
--- /dev/null
+++ b/lib/cell/contain.c
@@ -0,0 +1,350 @@
+/*
+ * Containment of queues whose jobs crash minions. A task has to be started once
+ * before it is known to crash its minion, so giving up the known ones does not
+ * bound the damage: where a third of the jobs of a busy queue crash, first
+ * starts alone keep all minions down.
+ *
+ * While many minions are down under first starts of a queue, its tasks start
+ * only on a set of minions that is a fixed share of its service, those that are
+ * down included. Other queues do not use these, so that crashes hit only runs
+ * of the queue itself. The more of its jobs crash, the fewer run side by side
+ * on a minion of the set. When such crashes stop, the set is released.
+ *
+ * It answers a load of 48 short jobs a second on 48 minions, of which 10 to 30%
+ * crash a minion that is then away for 3 s, among gangs and longer jobs.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell/cell_int.h"
+
+/* A queue is contained when one minion in this many is down under it. */
+#define TRIGGER_SHARE 6
+#define TRIGGER_MINIONS_MIN 2
+/* Its set is one minion in this many, and one in IDLE_SHARE that run nothing.
+ */
+#define SET_SHARE 4
+#define IDLE_SHARE 2
+/* The set is released after this time without a crash, in ms. */
+#define RELEASE_MS 5000
+/* Time constant of the share of jobs that crash, in ms. */
+#define SHARE_WINDOW_MS 5000
+
+static struct cell_contained *contained_find(const struct cell *cell,
+					     const char *queue)
+{
+	for (uint32_t i = 0; i < cell->contained_count; i++) {
+		if (!strcmp(cell->contained[i].queue, queue))
+			return &cell->contained[i];
+	}
+	return NULL;
+}
+
+/* Returns the state of the queue; adds it if it is new. */
+static struct cell_contained *contained_get(struct cell *cell,
+					    const struct cell_queue_spec *queue)
+{
+	struct cell_contained *q = contained_find(cell, queue->name);
+
+	if (q)
+		return q;
+	cell->contained =
+		realloc(cell->contained,
+			(cell->contained_count + 1) * sizeof(*cell->contained));
+	if (!cell->contained)
+		abort();
+	q = &cell->contained[cell->contained_count++];
+	*q = (struct cell_contained){ 0 };
+	snprintf(q->queue, sizeof(q->queue), "%s", queue->name);
+	snprintf(q->service, sizeof(q->service), "%s", queue->service);
+	return q;
+}
+
+/* Lets the counts of starts and crashes decay. */
+static void decay(struct cell_contained *q, uint64_t now_ms)
+{
+	double factor =
+		exp(-(double)(now_ms - q->counted_ms) / SHARE_WINDOW_MS);
+
+	q->starts *= factor;
+	q->crashes *= factor;
+	q->counted_ms = now_ms;
+}
+
+/*
+ * Notes that a minion fails under a run that is the likely cause and was not
+ * started in isolation.
+ */
+void cell_contain_crash(struct cell *cell, struct cell_minion *m,
+			const struct cell_run *run, uint64_t now_ms)
+{
+	struct cell_step *step;
+	const struct cell_queue_spec *queue = NULL;
+	struct cell_contained *q;
+
+	if (cell_task_find(cell, run->task, &step))
+		queue = cell_queue(cell, step->job->spec.queue);
+	if (!queue)
+		return;
+	q = contained_get(cell, queue);
+	decay(q, now_ms);
+	q->crashes++;
+	q->crash_ms = now_ms;
+	snprintf(m->down_queue, sizeof(m->down_queue), "%s", queue->name);
+	cell->dirty = true;
+}
+
+static bool is_down_under(const struct cell_minion *m,
+			  const struct cell_contained *q)
+{
+	return m->used && m->failing && !strcmp(m->down_queue, q->queue);
+}
+
+static bool is_member(const struct cell_minion *m,
+		      const struct cell_contained *q)
+{
+	return !strcmp(m->contained_queue, q->queue);
+}
+
+/* Returns the CPU that runs of other queues hold on the minion. */
+static uint32_t foreign_cpu(const struct cell *cell,
+			    const struct cell_minion *m,
+			    const struct cell_contained *q)
+{
+	uint32_t cpu = 0;
+
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		struct cell_step *step;
+
+		if (!cell_task_find(cell, m->runs[i].task, &step) ||
+		    strcmp(step->job->spec.queue, q->queue) != 0)
+			cpu += m->runs[i].held.cpu_milli;
+	}
+	return cpu;
+}
+
+/* Adds the minion with the least work of other queues. False if there is none.
+ */
+static bool recruit(struct cell *cell, const struct cell_contained *q,
+		    uint64_t now_ms)
+{
+	struct cell_minion *best = NULL;
+	uint32_t best_cpu = 0;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		struct cell_minion *m = cell->minions[i];
+		uint32_t cpu;
+
+		if (!cell_minion_usable(cell, m, now_ms) ||
+		    m->contained_queue[0] ||
+		    strcmp(m->info.service, q->service) != 0)
+			continue;
+		cpu = foreign_cpu(cell, m, q);
+		if (best && cpu >= best_cpu)
+			continue;
+		best = m;
+		best_cpu = cpu;
+	}
+	if (best)
+		snprintf(best->contained_queue, sizeof(best->contained_queue),
+			 "%s", q->queue);
+	return best;
+}
+
+/* Keeps the set at its size, with the minions that are down counted. */
+static void update_set(struct cell *cell, const struct cell_contained *q,
+		       uint32_t size, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		struct cell_minion *m = cell->minions[i];
+		bool down = is_down_under(m, q);
+
+		if (!m->used || (!down && !is_member(m, q)))
+			continue;
+		if (!down && n >= size)
+			m->contained_queue[0] = '\0';
+		else
+			n++;
+	}
+	while (n < size && recruit(cell, q, now_ms))
+		n++;
+}
+
+static void set_active(struct cell *cell, struct cell_contained *q, bool active,
+		       uint32_t down)
+{
+	q->active = active;
+	cell->contained_active += active ? 1 : -1;
+	for (uint32_t i = 0; i < cell->minion_count && !active; i++) {
+		if (is_member(cell->minions[i], q))
+			cell->minions[i]->contained_queue[0] = '\0';
+	}
+	cell_event(cell,
+		   &(struct cell_event){ .what = active ? "queue-contained"
+							: "queue-released",
+					 .job = q->queue,
+					 .value = down });
+}
+
+static uint32_t at_least(uint32_t n, uint32_t min)
+{
+	return n < min ? min : n;
+}
+
+/* Returns true if the set of the minion, if any, is that of the queue. */
+bool cell_contain_permits(const struct cell *cell, const struct cell_minion *m,
+			  const char *queue)
+{
+	const struct cell_contained *q;
+
+	if (!cell->contained_active)
+		return true;
+	if (m->contained_queue[0])
+		return !strcmp(m->contained_queue, queue);
+	q = contained_find(cell, queue);
+	return !q || !q->active;
+}
+
+/* Returns how many jobs may run side by side on a minion of the set. */
+static uint32_t jobs_limit(const struct cell_contained *q)
+{
+	return q->starts > 2 * q->crashes
+		       ? (uint32_t)(q->starts / (2 * q->crashes))
+		       : 1;
+}
+
+static bool same_job(const char *task, const char *other)
+{
+	size_t len = strcspn(task, ".");
+
+	return len == strcspn(other, ".") && !strncmp(task, other, len);
+}
+
+/* Returns how many jobs but @job have runs on the minion. */
+static uint32_t count_other_jobs(const struct cell_minion *m, const char *job)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		const char *task = m->runs[i].task;
+		bool counted = same_job(task, job);
+
+		for (uint32_t k = 0; k < i && !counted; k++)
+			counted = same_job(m->runs[k].task, task);
+		n += !counted;
+	}
+	return n;
+}
+
+/* Returns how many more jobs may run in the set. */
+static uint32_t set_room(const struct cell *cell,
+			 const struct cell_contained *q)
+{
+	uint32_t limit = jobs_limit(q);
+	uint32_t room = 0;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		const struct cell_minion *m = cell->minions[i];
+		uint32_t jobs;
+
+		if (!m->used || m->failing || !is_member(m, q))
+			continue;
+		jobs = count_other_jobs(m, "");
+		room += jobs < limit ? limit - jobs : 0;
+	}
+	return room;
+}
+
+/* Contains and releases queues by the minions that are down under them. */
+void cell_contain_update(struct cell *cell, uint64_t now_ms)
+{
+	for (uint32_t k = 0; k < cell->contained_count; k++) {
+		struct cell_contained *q = &cell->contained[k];
+		uint32_t total = 0;
+		uint32_t down = 0;
+		uint32_t idle = 0;
+
+		for (uint32_t i = 0; i < cell->minion_count; i++) {
+			const struct cell_minion *m = cell->minions[i];
+
+			if (!m->used || !m->listed ||
+			    strcmp(m->info.service, q->service) != 0)
+				continue;
+			total++;
+			down += is_down_under(m, q);
+			idle += !m->run_count && !m->failing;
+		}
+		if (!q->active && down >= at_least(total / TRIGGER_SHARE,
+						   TRIGGER_MINIONS_MIN))
+			set_active(cell, q, true, down);
+		else if (q->active && now_ms > q->crash_ms + RELEASE_MS)
+			set_active(cell, q, false, down);
+		if (!q->active)
+			continue;
+		decay(q, now_ms);
+		update_set(cell, q,
+			   at_least(total / SET_SHARE, 1) + idle / IDLE_SHARE,
+			   now_ms);
+		q->room = set_room(cell, q);
+	}
+}
+
+/*
+ * Returns true if the step may be placed in this pass. Of a contained queue
+ * only as many steps are as its set has room for: the others would take the
+ * requests for advice from other queues.
+ */
+bool cell_contain_admits(struct cell *cell, const struct cell_step *step)
+{
+	struct cell_contained *q;
+
+	if (!cell->contained_active)
+		return true;
+	q = contained_find(cell, step->job->spec.queue);
+	if (!q || !q->active || step->tasks_active)
+		return true;
+	if (!q->room)
+		return false;
+	q->room--;
+	return true;
+}
+
+/*
+ * Returns true if the minion is in a set and runs as many jobs as may run side
+ * by side there.
+ */
+bool cell_contain_full(const struct cell *cell, const struct cell_minion *m,
+		       const struct cell_job *job)
+{
+	const struct cell_contained *q;
+
+	if (!m->contained_queue[0])
+		return false;
+	q = contained_find(cell, m->contained_queue);
+	return q->crashes > 0 &&
+	       count_other_jobs(m, job->spec.id) >= jobs_limit(q);
+}
+
+/* Counts the first start of a job of a queue that has crashed minions. */
+void cell_contain_start(struct cell *cell, const struct cell_job *job,
+			uint64_t now_ms)
+{
+	struct cell_contained *q = contained_find(cell, job->spec.queue);
+
+	if (!q)
+		return;
+	decay(q, now_ms);
+	q->starts++;
+}
+
+/* Returns true if the queue is contained. */
+bool cell_contain_active(const struct cell *cell, const char *queue)
+{
+	const struct cell_contained *q = contained_find(cell, queue);
+
+	return q && q->active;
+}
--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -6,11 +6,8 @@
  * is left for causes other than runs, by the rate at which minions are lost.
  *
  * A suspect, a task with much blame or with repeated crashes, is started again
- * only in isolation: on a minion without other runs if there is one, and with
- * no other start there until it has run for a while. The next crash then shows
- * whether it is the cause. Few minions are isolated at a time, so that suspects
- * cannot take down many. A task that is the likely cause of repeated crashes is
- * given up, and its job fails.
+ * only in isolation (isolate.c). A task that is the likely cause of repeated
+ * crashes is given up, and its job fails.
  *
  * Losses that no single task explains leave no blame: minions that fail at the
  * same moment, as those of a rack without power, and minions that are silent
@@ -30,6 +27,11 @@
  * which run began last.
  */
 #define AGE_FLOOR_MS 20
+/*
+ * A failure within this time of a start, in ms, or of a run in isolation, is
+ * explained by that run: it is no sign of a common cause.
+ */
+#define EXPLAINED_AGE_MS 100
 /* Natural logarithm of the range of times from start to crash: 10 ms to 100 s.
  */
 #define AGE_LOG_RANGE 9.2
@@ -45,6 +47,8 @@
 #define SUSPECT_BLAME 500
 /* Crashes from which a task is suspected whatever its blame. */
 #define SUSPECT_CRASHES 2
+/* The same, with those that it did not cause. */
+#define SUSPECT_CRASHES_ANY 3
 /*
  * A task is given up once its blame reaches GIVE_UP_BLAME, which takes two
  * crashes that hardly anything else explains, or more that it may have caused;
@@ -60,21 +64,6 @@
 #define COMMON_CAUSE_MS 10
 #define COMMON_CAUSE_TIMEOUT_MS 2000
 #define COMMON_CAUSE_MINIONS 3
-/* One minion in this many may be isolated for suspects. */
-#define ISOLATION_SHARE 8
-/* How long a run in isolation keeps other starts from its minion, in ms. */
-#define ISOLATED_RUN_MS 1000
-/*
- * How long a reservation for a suspect lasts, in ms: longer than the interval
- * between two passes, which renew it.
- */
-#define ISOLATION_RESERVED_MS 150
-/*
- * A suspect that has waited this long for its minion to become empty starts
- * beside the runs that are left there, in ms.
- */
-#define ISOLATION_WAIT_MS 1500
-
 /* The crashes that a task may have caused. */
 struct evidence {
 	uint32_t count;
@@ -106,7 +95,14 @@
 {
 	struct evidence e = get_evidence(task);
 
-	return e.count >= SUSPECT_CRASHES || e.blame >= SUSPECT_BLAME;
+	return e.count >= SUSPECT_CRASHES || e.blame >= SUSPECT_BLAME ||
+	       task->crash_count >= SUSPECT_CRASHES_ANY;
+}
+
+/* Returns how many crashes the task may have caused. */
+uint32_t cell_task_crashes(const struct cell_task *task)
+{
+	return get_evidence(task).count;
 }
 
 /* Returns true if the step has a suspect that is not done. */
@@ -288,10 +284,10 @@
 		    other->disconnected != m->disconnected ||
 		    distance(other->failing_ms, m->failing_ms) > window)
 			continue;
-		if (other == m || other->failing_run != youngest->run)
+		if (!other->explained && other->failing_run != youngest->run)
 			n++;
 	}
-	return n >= COMMON_CAUSE_MINIONS;
+	return n + !m->explained >= COMMON_CAUSE_MINIONS;
 }
 
 /* Adds a crash under a run to its task and to the journal. */
@@ -370,12 +366,18 @@
 		cell_crash_clear(cell, m->runs[i].task, m->runs[i].run);
 }
 
-/* Notes which run began last on a minion that fails. */
+/*
+ * Notes which run began last on a minion that fails, and whether it explains
+ * the failure.
+ */
 void cell_minion_note_failure(struct cell_minion *m)
 {
 	const struct cell_run *youngest = youngest_run(m);
 
 	m->failing_run = youngest ? youngest->run : 0;
+	m->explained = youngest &&
+		       (youngest->isolated ||
+			run_age_ms(youngest, m->failing_ms) < EXPLAINED_AGE_MS);
 	m->blamed = false;
 }
 
@@ -388,12 +390,18 @@
 void cell_minion_blame_early(struct cell *cell, struct cell_minion *m,
 			     uint64_t now_ms)
 {
+	const struct cell_run *youngest;
+
 	if (!m->failing || !m->disconnected || m->blamed ||
 	    now_ms <= m->failing_ms + COMMON_CAUSE_MS)
 		return;
 	m->blamed = true;
-	if (m->run_count && !has_common_cause(cell, m))
-		blame_runs(cell, m, now_ms);
+	if (!m->run_count || has_common_cause(cell, m))
+		return;
+	blame_runs(cell, m, now_ms);
+	youngest = youngest_run(m);
+	if (!youngest->isolated)
+		cell_contain_crash(cell, m, youngest, now_ms);
 }
 
 /*
@@ -436,6 +444,8 @@
 bool cell_step_give_up(struct cell *cell, struct cell_step *step,
 		       uint64_t now_ms)
 {
+	if (step->job->final_state != CELL_JOB_UNKNOWN)
+		return true;
 	for (uint32_t i = 0; i < step->spec->count && step->crashes; i++) {
 		const struct cell_task *task = &step->tasks[i];
 
@@ -446,149 +456,3 @@
 	}
 	return false;
 }
-
-/* Returns true if the minion takes no starts but that of its suspect. */
-static bool is_isolated(const struct cell_minion *m, uint64_t now_ms)
-{
-	return now_ms < m->isolated_until_ms;
-}
-
-/* Returns true if the minion is isolated for a task of another step. */
-bool cell_minion_isolated_from(const struct cell_minion *m,
-			       const struct cell_step *step, uint64_t now_ms)
-{
-	char prefix[CELL_TASK_MAX];
-
-	if (!is_isolated(m, now_ms))
-		return false;
-	cell_step_name(step, 0, prefix);
-	return strncmp(m->isolated_task, prefix, strlen(prefix) - 1) != 0;
-}
-
-/* Returns how many minions may be isolated at a time. */
-static uint32_t isolation_limit(const struct cell *cell)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < cell->minion_count; i++)
-		n += cell->minions[i]->used && cell->minions[i]->listed;
-	return n < 2 * ISOLATION_SHARE ? 1 : n / ISOLATION_SHARE;
-}
-
-/*
- * Returns how many minions are isolated, or are down under a run that was
- * started in isolation.
- */
-static uint32_t isolation_count(const struct cell *cell, uint64_t now_ms)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < cell->minion_count; i++) {
-		const struct cell_minion *m = cell->minions[i];
-
-		n += m->used &&
-		     (is_isolated(m, now_ms) ||
-		      (m->failing && m->isolated_task[0] && m->run_count));
-	}
-	return n;
-}
-
-/*
- * Selects the minion for a suspect: the one that is reserved for it, else an
- * empty one, else the one with the least CPU in use.
- */
-static struct cell_candidate *select_isolated(struct cell_candidate *c,
-					      uint32_t count, const char *task,
-					      uint64_t now_ms)
-{
-	struct cell_candidate *best = NULL;
-
-	for (uint32_t i = 0; i < count; i++) {
-		const struct cell_minion *m = c[i].minion;
-
-		if (!m->free_slots)
-			continue;
-		if (is_isolated(m, now_ms)) {
-			if (!strcmp(m->isolated_task, task))
-				return &c[i];
-			continue;
-		}
-		if (!best || m->held.cpu_milli < best->minion->held.cpu_milli ||
-		    (!m->run_count && best->minion->run_count))
-			best = &c[i];
-	}
-	return best;
-}
-
-static void isolate(struct cell_minion *m, const char *task, uint64_t until_ms)
-{
-	snprintf(m->isolated_task, sizeof(m->isolated_task), "%s", task);
-	m->isolated_until_ms = until_ms;
-}
-
-/*
- * Starts a suspect on a minion of its own, or reserves one. Its crashes have to
- * be durable first: a successor has to know them.
- */
-static void start_suspect(struct cell *cell, struct cell_step *step,
-			  uint32_t index, struct cell_candidate *candidates,
-			  uint32_t count, uint64_t now_ms)
-{
-	struct cell_task *task = &step->tasks[index];
-	char name[CELL_TASK_MAX];
-	struct cell_candidate *to;
-	struct cell_minion *m;
-
-	if (cell->durable_seq < task->crash_seq)
-		return;
-	cell_step_name(step, index, name);
-	to = select_isolated(candidates, count, name, now_ms);
-	if (!to)
-		return;
-	m = to->minion;
-	if (!is_isolated(m, now_ms)) {
-		if (isolation_count(cell, now_ms) >= isolation_limit(cell))
-			return;
-		task->isolation_ms = now_ms;
-	}
-	if (m->run_count && now_ms < task->isolation_ms + ISOLATION_WAIT_MS) {
-		isolate(m, name, now_ms + ISOLATION_RESERVED_MS);
-		return;
-	}
-	isolate(m, name, now_ms + ISOLATED_RUN_MS);
-	m->free_slots = 0;
-	cell_task_start(cell, step, index, to, cell->next_run++, now_ms);
-}
-
-/*
- * Starts the suspects of a step that is no gang, each in isolation, and removes
- * isolated minions from the candidates for its other tasks.
- */
-void cell_start_suspects(struct cell *cell, struct cell_step *step,
-			 struct cell_candidate *candidates, uint32_t count,
-			 uint64_t now_ms)
-{
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].state == CELL_TASK_READY &&
-		    cell_task_suspect(&step->tasks[i]))
-			start_suspect(cell, step, i, candidates, count, now_ms);
-	}
-	for (uint32_t i = 0; i < count; i++) {
-		if (is_isolated(candidates[i].minion, now_ms))
-			candidates[i].minion->free_slots = 0;
-	}
-}
-
-/*
- * Isolates the minions of a gang with a suspect that is about to start. It
- * starts beside other runs, as it would wait long for so many empty minions;
- * its members then began last and get the blame for a crash.
- */
-void cell_isolate_gang(struct cell_step *step, struct cell_minion *m,
-		       uint64_t now_ms)
-{
-	char name[CELL_TASK_MAX];
-
-	cell_step_name(step, 0, name);
-	isolate(m, name, now_ms + ISOLATED_RUN_MS);
-}
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -322,6 +322,8 @@
 	m->last_end_durable = 0;
 	m->isolated_until_ms = 0;
 	m->isolated_task[0] = '\0';
+	m->contained_queue[0] = '\0';
+	m->down_queue[0] = '\0';
 	cell->dirty = true;
 	cell_event(cell, &(struct cell_event){ .what = "minion-settled",
 					       .minion = m->info.id,
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -85,7 +85,8 @@
 		       const struct cell_queue_spec *queue, uint64_t now_ms)
 {
 	if (!cell_minion_usable(cell, m, now_ms) ||
-	    strcmp(m->info.service, queue->service) != 0)
+	    strcmp(m->info.service, queue->service) != 0 ||
+	    !cell_contain_permits(cell, m, queue->name))
 		return false;
 	return !step->spec->requires[0] || has_label(m, step->spec->requires);
 }
@@ -164,7 +165,8 @@
 			  g->until_ms < now_ms + TICKET_MARGIN_MS))
 			continue;
 		if (!cell_minion_suits(cell, m, step, queue, now_ms) ||
-		    cell_minion_isolated_from(m, step, now_ms))
+		    cell_minion_isolated_from(m, step, now_ms) ||
+		    cell_contain_full(cell, m, step->job))
 			continue;
 		if (cell_step_yields(cell, m, step, queue, now_ms))
 			*yielded = true;
@@ -201,8 +203,10 @@
 	task->progress_ms = now_ms;
 	task->percent = 0;
 	step->tasks_active++;
-	if (job->state == CELL_JOB_QUEUED)
+	if (job->state == CELL_JOB_QUEUED) {
 		job->state = CELL_JOB_RUNNING;
+		cell_contain_start(cell, job, now_ms);
+	}
 	placed = cell_run_add(m, start.task, run, step->spec, &held, now_ms);
 	placed->pace = CELL_PACE_FULL;
 	placed->pace_acked = true;
@@ -316,6 +320,8 @@
 
 	if (gang && step->tasks_active)
 		return true;
+	if (gang && suspect && !cell_crashes_durable(cell, step))
+		return true;
 	if (gang && total_slots(c, count) < step->tasks_left)
 		return false;
 	for (uint32_t i = 0; i < step->spec->count; i++) {
@@ -341,7 +347,9 @@
 }
 
 struct ready_entry {
+	uint32_t crashes; /* fewest of its suspects, 0: it has none */
 	uint32_t priority;
+	bool late; /* past its deadline, of a contained queue */
 	uint64_t deadline_ms;
 	const char *id;
 	struct cell_step *step;
@@ -349,9 +357,10 @@
 };
 
 /*
- * By priority, then earliest deadline first. In order of arrival, short jobs
- * would miss their objective behind long ones with slack while gangs wait for
- * resources on large deployments.
+ * By priority, then earliest deadline first; but a contained queue, which has
+ * more jobs than room, first starts those that can still be in time. In order
+ * of arrival, short jobs would miss their objective behind long ones with slack
+ * while gangs wait for resources on large deployments.
  */
 static int compare_urgency(const void *a, const void *b)
 {
@@ -361,6 +370,8 @@
 
 	if (x->priority != y->priority)
 		return x->priority < y->priority ? -1 : 1;
+	if (x->late != y->late)
+		return y->late ? -1 : 1;
 	if (x->deadline_ms != y->deadline_ms)
 		return x->deadline_ms < y->deadline_ms ? -1 : 1;
 	by_id = strcmp(x->id, y->id);
@@ -369,6 +380,60 @@
 	return x->step->index < y->step->index ? -1 : 1;
 }
 
+/*
+ * Returns false while a run of an earlier term may exist on a minion that has
+ * not reported yet.
+ */
+static bool step_is_settled(const struct cell *cell,
+			    const struct ready_entry *entry)
+{
+	return !entry->step->job->inherited ||
+	       (!cell->unsettled && cell->minions_listed);
+}
+
+/* Suspects with the fewest crashes first. */
+static int compare_suspicion(const void *a, const void *b)
+{
+	const struct ready_entry *x = *(const struct ready_entry *const *)a;
+	const struct ready_entry *y = *(const struct ready_entry *const *)b;
+
+	if (x->crashes != y->crashes)
+		return x->crashes < y->crashes ? -1 : 1;
+	return compare_urgency(x, y);
+}
+
+/* Starts suspects in isolation, before other tasks take the minions. */
+static void schedule_suspects(struct cell *cell,
+			      const struct ready_entry *entries, uint32_t count,
+			      struct cell_candidate *candidates,
+			      uint64_t now_ms)
+{
+	const struct ready_entry **suspects;
+	uint32_t n = 0;
+
+	suspects = malloc((count + 1) * sizeof(struct ready_entry *));
+	if (!suspects)
+		abort();
+	for (uint32_t i = 0; i < count; i++) {
+		if (entries[i].crashes && step_is_settled(cell, &entries[i]))
+			suspects[n++] = &entries[i];
+	}
+	qsort(suspects, n, sizeof(*suspects), compare_suspicion);
+	for (uint32_t i = 0; i < n; i++) {
+		struct cell_step *step = suspects[i]->step;
+		bool yielded;
+		uint32_t found;
+
+		if (cell_step_give_up(cell, step, now_ms) ||
+		    !cell_isolation_possible(cell, step, now_ms))
+			continue;
+		found = collect_candidates(cell, step, suspects[i]->queue,
+					   candidates, &yielded, now_ms);
+		cell_start_suspects(cell, step, candidates, found, now_ms);
+	}
+	free(suspects);
+}
+
 static void schedule_step(struct cell *cell, const struct ready_entry *entry,
 			  struct cell_candidate *candidates, uint64_t now_ms)
 {
@@ -376,18 +441,13 @@
 	bool yielded;
 	uint32_t n;
 
-	/*
-	 * A run of an earlier term may exist on a minion that has not reported
-	 * yet.
-	 */
-	if (step->job->inherited && (cell->unsettled || !cell->minions_listed))
+	if (!step_is_settled(cell, entry))
 		return;
-	if (cell_step_give_up(cell, step, now_ms))
+	if (cell_step_give_up(cell, step, now_ms) ||
+	    !cell_contain_admits(cell, step))
 		return;
 	n = collect_candidates(cell, step, entry->queue, candidates, &yielded,
 			       now_ms);
-	if (!step->spec->gang && cell_step_suspect(step))
-		cell_start_suspects(cell, step, candidates, n, now_ms);
 	if (step->spec->same_rack)
 		n = filter_rack(cell, step, candidates, n);
 	if (!place_tasks(cell, step, candidates, n, now_ms))
@@ -403,6 +463,7 @@
 {
 	struct ready_entry *entries;
 	struct cell_candidate *candidates;
+	bool suspects = false;
 	uint32_t kept = 0;
 	uint32_t n = 0;
 
@@ -431,10 +492,17 @@
 		entry->priority = entry->queue->priority;
 		entry->deadline_ms = step->job->deadline_unix_ms;
 		entry->id = step->job->spec.id;
+		entry->late = cell->unix_ms > entry->deadline_ms &&
+			      cell_contain_active(cell, entry->queue->name);
+		entry->crashes = cell_suspect_crashes(step);
+		suspects |= entry->crashes > 0;
 		n++;
 	}
 	cell->ready_count = kept;
 	qsort(entries, n, sizeof(*entries), compare_urgency);
+	cell_contain_update(cell, now_ms);
+	if (suspects)
+		schedule_suspects(cell, entries, n, candidates, now_ms);
 	for (uint32_t i = 0; i < n; i++)
 		schedule_step(cell, &entries[i], candidates, now_ms);
 	free(entries);
