Refuse jobs of a contained queue that would be late

Change: the holder reports for each contained queue how long a new job would wait, by the rate of starts of late, to all daemons. A job that would miss its objective is refused with 429 and a Retry-After, unless an earlier try stored it. Jobs that can be in time start before late ones. Suspects leave the set to first starts while there are any, and do not take the room of these. The set grows by minions that run nothing else, and is released once no job waits.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -986,6 +986,33 @@
 	cell_submit(s->cell, &spec, fresh, UNIX_BASE + s->now, s->now);
 }
 
+struct overload_query {
+	const char *queue;
+	uint32_t wait_ms;
+};
+
+static void on_overload(void *ctx, const char *queue, uint32_t wait_ms)
+{
+	struct overload_query *q = ctx;
+
+	if (!strcmp(queue, q->queue))
+		q->wait_ms = wait_ms;
+}
+
+/* Refuses a job like a daemon does, if its queue is overloaded. */
+static bool refuse_job(struct cellsim *s, const struct sim_job *job)
+{
+	struct cell_step_spec step = { .estimate_ms = job->work_ms };
+	struct cell_job_spec spec = { .step_count = 1, .steps = &step };
+	struct overload_query q = {
+		.queue = s->settings->classes[job->class_index].queue
+	};
+
+	cell_each_overload(s->cell, on_overload, &q);
+	return cell_job_is_late(&s->config.queues[job->class_index], &spec,
+				q.wait_ms);
+}
+
 static void on_submit(struct cellsim *s, struct event *e)
 {
 	const struct cellsim_class *c = &s->settings->classes[e->minion];
@@ -1001,6 +1028,13 @@
 	job->mem_mb = draw_around(s, c->mem_mb);
 	job->work_ms = draw_around(s, c->work_ms);
 	job->at_ms = s->now;
+	event_push(s, e, (uint64_t)(2000.0 / c->per_s * draw_unit(s)));
+	if (refuse_job(s, job)) {
+		s->result->jobs_by_class[e->minion]++;
+		s->result->refused[e->minion]++;
+		free(job);
+		return;
+	}
 	job->tasks = xcalloc(job->count, sizeof(*job->tasks));
 	HASH_ADD_STR(s->jobs, id, job);
 	if (e->minion == s->settings->crash_class &&
@@ -1013,7 +1047,6 @@
 	else
 		s->result->jobs_by_class[e->minion]++;
 	submit_job(s, job, true);
-	event_push(s, e, (uint64_t)(2000.0 / c->per_s * draw_unit(s)));
 }
 
 static void list_minions(struct cellsim *s)
--- a/fakes/cellsim.h
+++ b/fakes/cellsim.h
@@ -85,6 +85,7 @@
 	/* By class, without the jobs that crash minions: */
 	uint32_t met_slo[8]; /* completed within the SLO */
 	uint32_t jobs_by_class[8];
+	uint32_t refused[8]; /* not accepted, as the queue is overloaded */
 	uint32_t crashing_jobs;
 	uint32_t crashing_jobs_ended; /* failed, or done before the crash */
 	uint32_t crashes;	      /* of minions, by tasks */
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -167,6 +167,14 @@
 uint64_t terms_token(const struct terms *terms);
 uint64_t terms_latest(const struct terms *terms);
 
+/* overload.c: waiting times of overloaded queues */
+struct overload;
+struct overload *overload_new(void);
+void overload_set(struct overload *overload, const char *queue,
+		  uint32_t wait_ms, uint64_t now_ms);
+uint32_t overload_wait_ms(const struct overload *overload, const char *queue,
+			  uint64_t now_ms);
+
 /* gc.c: deferred deletion of obsolete keys */
 struct gc;
 struct gc *gc_new(struct celld *d, uint64_t token);
@@ -190,6 +198,10 @@
 void holder_config_changed(struct holder *h);
 void holder_tick(struct holder *h, uint64_t now_ms);
 void holder_poll_jobs_soon(struct holder *h);
+void holder_each_overload(const struct holder *h,
+			  void (*fn)(void *ctx, const char *queue,
+				     uint32_t wait_ms),
+			  void *ctx);
 void holder_gauges(const struct holder *h);
 
 /* entry.c: HTTP interfaces for callers, the load balancer and operators */
@@ -209,6 +221,7 @@
 	struct rpc *rpc;
 	struct links *links;
 	struct terms *terms;
+	struct overload *overload;
 	struct holder *holder; /* NULL unless this daemon is the holder */
 	struct entry *entry;
 	bool draining;
--- a/jaycelld/entry.c
+++ b/jaycelld/entry.c
@@ -22,6 +22,8 @@
  */
 #define RETRY_INTERACTIVE_S 1
 #define RETRY_BATCH_S 2
+/* Longest Retry-After of an overloaded queue. */
+#define RETRY_OVERLOAD_MAX_S 10
 /* Queues with an objective of at least this are batch queues. */
 #define BATCH_SLO_MS 1000
 #define JSON_TYPE "application/json"
@@ -54,6 +56,7 @@
 	char *host;
 	char *path;
 	struct buf body;
+	struct buf record; /* encoded job */
 };
 
 static void request_free(struct request *r)
@@ -61,6 +64,7 @@
 	free(r->host);
 	free(r->path);
 	buf_free(&r->body);
+	buf_free(&r->record);
 	free(r);
 }
 
@@ -87,7 +91,7 @@
 	char headers[32];
 
 	snprintf(headers, sizeof(headers), "Retry-After: %u\r\n", r->retry_s);
-	reply(r, status, status == 503 ? headers : NULL, text);
+	reply(r, status, status == 503 || status == 429 ? headers : NULL, text);
 	free(text);
 	json_decref(body);
 }
@@ -111,11 +115,35 @@
 	}
 }
 
+static void store_job(struct request *r)
+{
+	accept_job(r->entry->d->acceptor, r->id, &r->record, true,
+		   r->deadline_ms, on_accepted, r);
+	buf_free(&r->record);
+}
+
+/* Refuses a job of an overloaded queue, unless an earlier try stored it. */
+static void on_overload_state(void *ctx, enum cd_status status, uint32_t number)
+{
+	struct request *r = ctx;
+
+	(void)number;
+	if (status != CD_GONE) {
+		store_job(r);
+		return;
+	}
+	ev("job-refused", "id=%s why=\"queue overloaded\" retry_s=%u", r->id,
+	   r->retry_s);
+	reply_error(r, 429, "the queue is overloaded; the job has not run");
+}
+
 static void submit(struct request *r, const struct cell_queue_spec *queue)
 {
+	struct celld *d = r->entry->d;
+	uint32_t wait_ms;
 	struct cell_job_spec spec;
-	struct buf record = { 0 };
 	struct err err = { 0 };
+	bool too_late;
 
 	if (!pf_decode_job(r->body.data, r->body.len, &spec, &err)) {
 		ev("job-refused", "id=%s why=\"%s\"", r->id, err.text);
@@ -125,11 +153,19 @@
 	snprintf(spec.id, sizeof(spec.id), "%s", r->id);
 	snprintf(spec.queue, sizeof(spec.queue), "%s", queue->name);
 	spec.accepted_unix_ms = cd_unix_ms();
-	record_pack_job(&spec, &record);
+	record_pack_job(&spec, &r->record);
+	wait_ms = overload_wait_ms(d->overload, queue->name, loop_now_ms());
+	too_late = cell_job_is_late(queue, &spec, wait_ms);
 	cell_job_spec_free(&spec);
-	accept_job(r->entry->d->acceptor, r->id, &record, true, r->deadline_ms,
-		   on_accepted, r);
-	buf_free(&record);
+	if (!too_late) {
+		store_job(r);
+		return;
+	}
+	r->retry_s = wait_ms / 1000 + 1;
+	if (r->retry_s > RETRY_OVERLOAD_MAX_S)
+		r->retry_s = RETRY_OVERLOAD_MAX_S;
+	rpc_call(d->rpc, CD_OP_STATE, r->id, NULL,
+		 r->deadline_ms - RESPONSE_MARGIN_MS, on_overload_state, r);
 }
 
 static void on_state(void *ctx, enum cd_status status, uint32_t number)
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -271,6 +271,16 @@
 		h->jobs_poll_ms = soon;
 }
 
+/* Calls @fn for each overloaded queue, with the wait for a first start. */
+void holder_each_overload(const struct holder *h,
+			  void (*fn)(void *ctx, const char *queue,
+				     uint32_t wait_ms),
+			  void *ctx)
+{
+	if (h->phase == PHASE_READY)
+		cell_each_overload(h->cell, fn, ctx);
+}
+
 /* Updates the gauges of the cell. */
 void holder_gauges(const struct holder *h)
 {
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -44,7 +44,8 @@
 	FRAME_REPLY,
 	FRAME_ADVICE_REQUEST,
 	FRAME_ADVICE,
-	FRAME_NEW_HOLDER
+	FRAME_NEW_HOLDER,
+	FRAME_OVERLOAD
 };
 
 /* A slot for a follower; its number, from 1 on, is the lane of the daemon. */
@@ -524,6 +525,19 @@
 	return ok;
 }
 
+static bool on_overload(struct links *l, const msgpack_object *f)
+{
+	char *queue = get_text(&f[0]);
+	uint32_t wait_ms;
+	bool ok = queue && strlen(queue) < CELL_NAME_MAX &&
+		  mp_get_u32(&f[1], &wait_ms);
+
+	if (ok)
+		overload_set(l->d->overload, queue, wait_ms, loop_now_ms());
+	free(queue);
+	return ok;
+}
+
 static bool handle_frame(struct links *l, struct link *link,
 			 const struct frame *frame)
 {
@@ -535,6 +549,9 @@
 	case FRAME_NEW_HOLDER:
 		f = frame_fields(frame, 2);
 		return f && on_new_holder(l, f);
+	case FRAME_OVERLOAD:
+		f = frame_fields(frame, 2);
+		return f && link->dialled && on_overload(l, f);
 	case FRAME_STATE:
 		f = frame_fields(frame, 5);
 		if (!f)
@@ -733,6 +750,26 @@
 	l->holder = link_dial(&l->env, l->holder_addr);
 }
 
+/* Reports an overloaded queue to all daemons. */
+static void report_overload(void *ctx, const char *queue, uint32_t wait_ms)
+{
+	struct links *l = ctx;
+
+	overload_set(l->d->overload, queue, wait_ms, loop_now_ms());
+	for (uint32_t i = 0; i < l->follower_count; i++) {
+		struct buf body = { 0 };
+		msgpack_packer pk;
+
+		if (!l->followers[i].link)
+			continue;
+		mp_open(&pk, &body);
+		msgpack_pack_array(&pk, 2);
+		mp_pack_text(&pk, queue);
+		msgpack_pack_uint32(&pk, wait_ms);
+		send_body(l->followers[i].link, FRAME_OVERLOAD, &body);
+	}
+}
+
 /* Dials the holder, closes dead connections and sends state frames. */
 void links_tick(struct links *l, uint64_t now_ms)
 {
@@ -770,6 +807,8 @@
 			send_state(l, l->followers[i].link, valid, false,
 				   now_ms);
 	}
+	if (l->d->holder && valid)
+		holder_each_overload(l->d->holder, report_overload, l);
 }
 
 static void on_tick(struct timer *timer)
--- a/jaycelld/main.c
+++ b/jaycelld/main.c
@@ -206,6 +206,7 @@
 	d->loop = loop_new();
 	d->httpc = httpc_new(d->loop);
 	d->store = pf_store_new(d->loop, d->httpc, conf->store);
+	d->overload = overload_new();
 	loop_set_idle(d->loop, on_idle, d);
 	s.poll = (struct timer){ .fn = on_poll, .ctx = &s };
 	s.secret_retry = (struct timer){ .fn = on_secret_retry, .ctx = &s };
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -279,6 +279,12 @@
 void cell_on_advice(struct cell *cell, uint32_t handle, bool answered,
 		    const struct cell_ticket *tickets, uint32_t count,
 		    uint64_t now_ms);
+void cell_each_overload(const struct cell *cell,
+			void (*fn)(void *ctx, const char *queue,
+				   uint32_t wait_ms),
+			void *ctx);
+bool cell_job_is_late(const struct cell_queue_spec *queue,
+		      const struct cell_job_spec *spec, uint32_t wait_ms);
 void cell_on_durable(struct cell *cell, uint64_t seq, uint64_t now_ms);
 void cell_tick(struct cell *cell, uint64_t unix_ms, uint64_t now_ms);
 void cell_get_stats(const struct cell *cell, struct cell_stats *stats);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -188,7 +188,10 @@
 	char service[CELL_NAME_MAX];
 	bool active;
 	uint64_t crash_ms; /* latest crash */
+	uint32_t size;	   /* of its set, with minions that are down */
 	uint32_t room;	   /* jobs that may be placed in this pass */
+	uint32_t waiting;  /* jobs without a start, in the latest pass */
+	uint32_t in_time;  /* those that can still meet their objective */
 	double starts;	   /* of jobs, of late, decaying */
 	double crashes;	   /* by them */
 	uint64_t counted_ms;
@@ -418,6 +421,7 @@
 bool cell_crashes_durable(const struct cell *cell,
 			  const struct cell_step *step);
 uint32_t cell_suspect_crashes(const struct cell_step *step);
+bool cell_suspects_only(const struct cell_step *step);
 void cell_start_suspects(struct cell *cell, struct cell_step *step,
 			 struct cell_candidate *candidates, uint32_t count,
 			 uint64_t now_ms);
@@ -435,6 +439,8 @@
 		       const struct cell_job *job);
 void cell_contain_start(struct cell *cell, const struct cell_job *job,
 			uint64_t now_ms);
+void cell_contain_waiting(struct cell *cell, const char *queue, bool late);
+uint32_t cell_contain_isolation(const struct cell *cell, const char *queue);
 bool cell_contain_active(const struct cell *cell, const char *queue);
 
 /* advice.c */
--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -21,14 +21,22 @@
 #include "cell/cell_int.h"
 
 /* A queue is contained when one minion in this many is down under it. */
-#define TRIGGER_SHARE 6
+#define TRIGGER_SHARE 4
 #define TRIGGER_MINIONS_MIN 2
-/* Its set is one minion in this many, and one in IDLE_SHARE that run nothing.
+/*
+ * Its set is one minion in SET_SHARE, or all but so many of those that run no
+ * work of other queues, if that is more.
  */
 #define SET_SHARE 4
-#define IDLE_SHARE 2
-/* The set is released after this time without a crash, in ms. */
+/*
+ * The set is released after this time without a crash, in ms, once no job waits
+ * for its first start.
+ */
 #define RELEASE_MS 5000
+/* While jobs wait for a first start, suspects get one minion in this many. */
+#define SUSPECTS_SHARE 4
+/* A contained queue takes new jobs while its backlog is shorter, in ms. */
+#define BACKLOG_MAX_MS 20000
 /* Time constant of the share of jobs that crash, in ms. */
 #define SHARE_WINDOW_MS 5000
 
@@ -155,7 +163,7 @@
 
 /* Keeps the set at its size, with the minions that are down counted. */
 static void update_set(struct cell *cell, const struct cell_contained *q,
-		       uint32_t size, uint64_t now_ms)
+		       uint64_t now_ms)
 {
 	uint32_t n = 0;
 
@@ -165,12 +173,12 @@
 
 		if (!m->used || (!down && !is_member(m, q)))
 			continue;
-		if (!down && n >= size)
+		if (!down && n >= q->size)
 			m->contained_queue[0] = '\0';
 		else
 			n++;
 	}
-	while (n < size && recruit(cell, q, now_ms))
+	while (n < q->size && recruit(cell, q, now_ms))
 		n++;
 }
 
@@ -179,6 +187,11 @@
 {
 	q->active = active;
 	cell->contained_active += active ? 1 : -1;
+	/* The counts are of all minions: the set starts as much less. */
+	if (active) {
+		q->starts /= SET_SHARE;
+		q->crashes /= SET_SHARE;
+	}
 	for (uint32_t i = 0; i < cell->minion_count && !active; i++) {
 		if (is_member(cell->minions[i], q))
 			cell->minions[i]->contained_queue[0] = '\0';
@@ -266,7 +279,8 @@
 		struct cell_contained *q = &cell->contained[k];
 		uint32_t total = 0;
 		uint32_t down = 0;
-		uint32_t idle = 0;
+		uint32_t free_minions = 0;
+		uint32_t size;
 
 		for (uint32_t i = 0; i < cell->minion_count; i++) {
 			const struct cell_minion *m = cell->minions[i];
@@ -276,19 +290,22 @@
 				continue;
 			total++;
 			down += is_down_under(m, q);
-			idle += !m->run_count && !m->failing;
+			free_minions += !foreign_cpu(cell, m, q);
 		}
 		if (!q->active && down >= at_least(total / TRIGGER_SHARE,
 						   TRIGGER_MINIONS_MIN))
 			set_active(cell, q, true, down);
-		else if (q->active && now_ms > q->crash_ms + RELEASE_MS)
+		else if (q->active && !q->waiting &&
+			 now_ms > q->crash_ms + RELEASE_MS)
 			set_active(cell, q, false, down);
 		if (!q->active)
 			continue;
 		decay(q, now_ms);
-		update_set(cell, q,
-			   at_least(total / SET_SHARE, 1) + idle / IDLE_SHARE,
-			   now_ms);
+		q->waiting = 0;
+		q->in_time = 0;
+		size = at_least(total / SET_SHARE, 1);
+		q->size = free_minions > 2 * size ? free_minions - size : size;
+		update_set(cell, q, now_ms);
 		q->room = set_room(cell, q);
 	}
 }
@@ -341,6 +358,75 @@
 	q->starts++;
 }
 
+/* Counts a job of the queue that waits for its first start in this pass. */
+void cell_contain_waiting(struct cell *cell, const char *queue, bool late)
+{
+	struct cell_contained *q = contained_find(cell, queue);
+
+	if (!q)
+		return;
+	q->waiting++;
+	q->in_time += !late;
+}
+
+/*
+ * Returns how many minions of its set a contained queue leaves to suspects: all
+ * if no job waits for its first start. Returns 0 if the queue is not contained.
+ */
+uint32_t cell_contain_isolation(const struct cell *cell, const char *queue)
+{
+	const struct cell_contained *q = contained_find(cell, queue);
+
+	if (!q || !q->active)
+		return 0;
+	return at_least(q->waiting ? q->size / SUSPECTS_SHARE : q->size, 1);
+}
+
+/*
+ * Returns how long a new job would wait for its first start, by the rate of
+ * late. Late jobs come after it, but only as many are accepted as can be
+ * started soon.
+ */
+static uint32_t wait_ms(const struct cell_contained *q)
+{
+	double per_ms = (q->starts + 1) / SHARE_WINDOW_MS;
+	double all_ms = q->waiting / per_ms;
+
+	/* Room that is left would take a new job at once. */
+	if (q->room)
+		return 0;
+	return (uint32_t)(all_ms > BACKLOG_MAX_MS ? all_ms
+						  : q->in_time / per_ms);
+}
+
+/*
+ * Calls @fn for each contained queue with the time that a new job would wait
+ * for its first start.
+ */
+void cell_each_overload(const struct cell *cell,
+			void (*fn)(void *ctx, const char *queue,
+				   uint32_t wait_ms),
+			void *ctx)
+{
+	for (uint32_t i = 0; i < cell->contained_count; i++) {
+		const struct cell_contained *q = &cell->contained[i];
+
+		if (q->active)
+			fn(ctx, q->queue, wait_ms(q));
+	}
+}
+
+/* Returns true if a job that waits so long for its first start ends late. */
+bool cell_job_is_late(const struct cell_queue_spec *queue,
+		      const struct cell_job_spec *spec, uint32_t wait_ms)
+{
+	uint64_t path_ms = cell_critical_path_ms(spec);
+	double objective_ms = queue->slo_ms + queue->stretch * (double)path_ms;
+
+	return wait_ms && !spec->repeat_count &&
+	       (double)(wait_ms + path_ms) > objective_ms;
+}
+
 /* Returns true if the queue is contained. */
 bool cell_contain_active(const struct cell *cell, const char *queue)
 {
--- a/lib/cell/isolate.c
+++ b/lib/cell/isolate.c
@@ -16,8 +16,6 @@
 #define ISOLATION_SHARE 8
 /* One in this many of those that run nothing may be isolated besides. */
 #define IDLE_SHARE 2
-/* The same while the queue is contained, from the set of its minions. */
-#define CONTAINED_ISOLATION_SHARE 16
 /* How long a run in isolation keeps other starts from its minion, in ms. */
 #define ISOLATED_RUN_MS 1000
 /*
@@ -52,19 +50,20 @@
 /* Returns how many minions may be isolated at a time for jobs of a queue. */
 static uint32_t isolation_limit(const struct cell *cell, const char *queue)
 {
-	uint32_t share = cell_contain_active(cell, queue)
-				 ? CONTAINED_ISOLATION_SHARE
-				 : ISOLATION_SHARE;
+	uint32_t contained = cell_contain_isolation(cell, queue);
 	uint32_t idle = 0;
 	uint32_t n = 0;
 
+	if (contained)
+		return contained;
 	for (uint32_t i = 0; i < cell->minion_count; i++) {
 		const struct cell_minion *m = cell->minions[i];
 
 		n += m->used && m->listed;
 		idle += m->used && m->listed && !m->run_count && !m->failing;
 	}
-	return (n < 2 * share ? 1 : n / share) + idle / IDLE_SHARE;
+	return (n < 2 * ISOLATION_SHARE ? 1 : n / ISOLATION_SHARE) +
+	       idle / IDLE_SHARE;
 }
 
 /*
@@ -162,6 +161,20 @@
 	return fewest;
 }
 
+/* Returns true if all tasks of the step that have no run wait for isolation. */
+bool cell_suspects_only(const struct cell_step *step)
+{
+	if (step->spec->gang || !step->crashes)
+		return false;
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const struct cell_task *task = &step->tasks[i];
+
+		if (task->state == CELL_TASK_READY && !cell_task_suspect(task))
+			return false;
+	}
+	return true;
+}
+
 static void isolate(struct cell_minion *m, const char *task, uint64_t until_ms)
 {
 	snprintf(m->isolated_task, sizeof(m->isolated_task), "%s", task);
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -245,26 +245,6 @@
 	job->occurrence_count = 0;
 }
 
-/* Returns the length of the critical path by the step estimates, in ms. */
-static uint64_t critical_path_ms(const struct cell_job_spec *spec)
-{
-	uint64_t at[CELL_STEPS_MAX] = { 0 };
-	uint64_t longest = 0;
-
-	for (uint32_t i = 0; i < spec->step_count; i++) {
-		uint64_t before = 0;
-
-		for (uint32_t k = 0; k < i; k++) {
-			if ((spec->steps[i].after >> k & 1) && at[k] > before)
-				before = at[k];
-		}
-		at[i] = before + spec->steps[i].estimate_ms;
-		if (at[i] > longest)
-			longest = at[i];
-	}
-	return longest;
-}
-
 static uint64_t job_age_ms(const struct cell_job *job, uint64_t unix_ms)
 {
 	uint64_t at = job->spec.accepted_unix_ms;
@@ -301,7 +281,7 @@
 	job->deadline_unix_ms = job->spec.accepted_unix_ms +
 				(queue ? queue->slo_ms : 0) +
 				(uint64_t)((queue ? queue->stretch : 1.0) *
-					   critical_path_ms(&job->spec));
+					   cell_critical_path_ms(&job->spec));
 	HASH_ADD_STR(cell->jobs, spec.id, job);
 	cell->live_jobs++;
 	cell->stats.jobs++;
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -430,6 +430,10 @@
 		found = collect_candidates(cell, step, suspects[i]->queue,
 					   candidates, &yielded, now_ms);
 		cell_start_suspects(cell, step, candidates, found, now_ms);
+		if (cell_suspect_crashes(step) &&
+		    suspects[i]->queue->advice.needed)
+			cell_request_advice(cell, step, suspects[i]->queue,
+					    now_ms);
 	}
 	free(suspects);
 }
@@ -443,7 +447,7 @@
 
 	if (!step_is_settled(cell, entry))
 		return;
-	if (cell_step_give_up(cell, step, now_ms) ||
+	if (cell_step_give_up(cell, step, now_ms) || cell_suspects_only(step) ||
 	    !cell_contain_admits(cell, step))
 		return;
 	n = collect_candidates(cell, step, entry->queue, candidates, &yielded,
@@ -501,6 +505,11 @@
 	cell->ready_count = kept;
 	qsort(entries, n, sizeof(*entries), compare_urgency);
 	cell_contain_update(cell, now_ms);
+	for (uint32_t i = 0; i < n && cell->contained_active; i++) {
+		if (entries[i].step->job->state == CELL_JOB_QUEUED)
+			cell_contain_waiting(cell, entries[i].queue->name,
+					     entries[i].late);
+	}
 	if (suspects)
 		schedule_suspects(cell, entries, n, candidates, now_ms);
 	for (uint32_t i = 0; i < n; i++)
--- a/lib/cell/spec.c
+++ b/lib/cell/spec.c
@@ -94,3 +94,23 @@
 		return false;
 	return parse_number(&p, &name->index) && !*p;
 }
+
+/* Returns the length of the critical path by the step estimates, in ms. */
+uint64_t cell_critical_path_ms(const struct cell_job_spec *spec)
+{
+	uint64_t at[CELL_STEPS_MAX] = { 0 };
+	uint64_t longest = 0;
+
+	for (uint32_t i = 0; i < spec->step_count; i++) {
+		uint64_t before = 0;
+
+		for (uint32_t k = 0; k < i; k++) {
+			if ((spec->steps[i].after >> k & 1) && at[k] > before)
+				before = at[k];
+		}
+		at[i] = before + spec->steps[i].estimate_ms;
+		if (at[i] > longest)
+			longest = at[i];
+	}
+	return longest;
+}
--- a/lib/cell/spec.h
+++ b/lib/cell/spec.h
@@ -86,6 +86,7 @@
 };
 
 void cell_job_spec_free(struct cell_job_spec *spec);
+uint64_t cell_critical_path_ms(const struct cell_job_spec *spec);
 void cell_config_free(struct cell_config *config);
 const struct cell_queue_spec *
 cell_config_queue(const struct cell_config *config, const char *name);
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -86,13 +86,14 @@
 	if (getenv("CRASH_FIGURES"))
 		printf("seed %lu kind %u share %.2f after %u: served %u%% %u%% "
 		       "%u%%, starts %u, crashes %u by %u jobs, %u ended, "
-		       "waste %lu s, budget %u given up %u unfinished %u\n",
+		       "refused %u, waste %lu s, budget %u given up %u unfinished %u\n",
 		       d.settings.seed, d.settings.crash_class,
 		       d.settings.crash_share, d.settings.crash_after_ms,
 		       r.met_slo[0] * 100 / r.jobs_by_class[0],
 		       r.met_slo[1] * 100 / r.jobs_by_class[1],
 		       r.met_slo[2] * 100 / r.jobs_by_class[2], r.starts,
 		       r.crashes, r.crashing_jobs, r.crashing_jobs_ended,
+		       r.refused[d.settings.crash_class],
 		       r.wasted_core_ms / 1000, r.over_crash_budget, r.given_up,
 		       r.unfinished);
 	return r;
