Let the set of a contained queue grow while no minion crashes

A queue with much work (hymn timings) was never released: its work alone fills a quarter of the minions, so that jobs always wait. The set now grows by half after each 3 s without a crash while few of its minions are down, and falls back to its share once half of them are.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -188,6 +188,8 @@
 	char service[CELL_NAME_MAX];
 	bool active;
 	uint64_t crash_ms; /* latest crash */
+	uint32_t grown;	   /* size of its set by its crashes, 0: not set */
+	uint64_t grown_ms; /* latest change of that */
 	uint32_t size;	   /* of its set, with minions that are down */
 	uint32_t room;	   /* jobs that may be placed in this pass */
 	uint32_t waiting;  /* jobs without a start, in the latest pass */
--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -21,7 +21,7 @@
 #include "cell/cell_int.h"
 
 /* A queue is contained when one minion in this many is down under it. */
-#define TRIGGER_SHARE 4
+#define TRIGGER_SHARE 6
 #define TRIGGER_MINIONS_MIN 2
 /*
  * Its set is one minion in SET_SHARE, or all but so many of those that run no
@@ -33,6 +33,8 @@
  * for its first start.
  */
 #define RELEASE_MS 5000
+/* The set grows by half after each such time without a crash, in ms. */
+#define GROW_MS 3000
 /* While jobs wait for a first start, suspects get one minion in this many. */
 #define SUSPECTS_SHARE 4
 /* A contained queue takes new jobs while its backlog is shorter, in ms. */
@@ -189,6 +191,7 @@
 	cell->contained_active += active ? 1 : -1;
 	/* The counts are of all minions: the set starts as much less. */
 	if (active) {
+		q->grown = 0;
 		q->starts /= SET_SHARE;
 		q->crashes /= SET_SHARE;
 	}
@@ -272,6 +275,29 @@
 	return room;
 }
 
+/*
+ * Sets the size of the set. It grows in steps while no minion crashes under
+ * the queue and few are down, and falls back to its share once half of them
+ * are.
+ */
+static void resize(struct cell_contained *q, uint32_t total,
+		   uint32_t free_minions, uint32_t down, uint64_t now_ms)
+{
+	uint32_t base = at_least(total / SET_SHARE, 1);
+
+	if (down * 2 > q->grown || q->grown < base) {
+		q->grown = base;
+		q->grown_ms = now_ms;
+	} else if (down * 4 <= q->grown && now_ms >= q->grown_ms + GROW_MS &&
+		   now_ms >= q->crash_ms + GROW_MS) {
+		q->grown += 1 + q->grown / 2;
+		q->grown_ms = now_ms;
+	}
+	q->size = q->grown;
+	if (free_minions > base + q->size)
+		q->size = free_minions - base;
+}
+
 /* Contains and releases queues by the minions that are down under them. */
 void cell_contain_update(struct cell *cell, uint64_t now_ms)
 {
@@ -280,7 +306,6 @@
 		uint32_t total = 0;
 		uint32_t down = 0;
 		uint32_t free_minions = 0;
-		uint32_t size;
 
 		for (uint32_t i = 0; i < cell->minion_count; i++) {
 			const struct cell_minion *m = cell->minions[i];
@@ -303,8 +328,11 @@
 		decay(q, now_ms);
 		q->waiting = 0;
 		q->in_time = 0;
-		size = at_least(total / SET_SHARE, 1);
-		q->size = free_minions > 2 * size ? free_minions - size : size;
+		resize(q, total, free_minions, down, now_ms);
+		if (q->grown >= total) {
+			set_active(cell, q, false, down);
+			continue;
+		}
 		update_set(cell, q, now_ms);
 		q->room = set_room(cell, q);
 	}
