Give a task up only after two crashes that are its own beyond doubt

The sum counted, so that a crash that was as likely another run's made up for the second one.

Change: crashes count if at least 600 thousandths fall on one run that the minion had confirmed, or that was isolated; two such give a task up, or five of any kind. The simulated cell checks that a job that failed had crashed two minions.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -145,6 +145,7 @@
 	uint64_t age_ms;
 	uint32_t blame;
 	uint32_t others;
+	bool begun;
 	bool durable;
 };
 
@@ -454,7 +455,8 @@
 				     .end = record->end,
 				     .age_ms = record->age_ms,
 				     .blame = record->blame,
-				     .others = record->others };
+				     .others = record->others,
+				     .begun = record->begun };
 	snprintf(r->subject, sizeof(r->subject), "%s", record_subject(record));
 	if (record->kind == CELL_RECORD_CRASH)
 		snprintf(r->minion, sizeof(r->minion), "%s", record->minion);
@@ -1094,6 +1096,7 @@
 			.age_ms = r->age_ms,
 			.blame = r->blame,
 			.others = r->others,
+			.begun = r->begun,
 			.addr = "10.0.0.1:80",
 			.run = r->run,
 			.end = r->end,
@@ -1434,6 +1437,15 @@
 			 job->id);
 }
 
+/* A job may be given up after its task has crashed two minions. */
+static void check_crashes(struct cellsim *s, const struct sim_job *job)
+{
+	if (job->tasks[0].crashes < 2)
+		report_violation(s, &s->result->given_up,
+				 "%s is reported as failed after %u crashes",
+				 job->id, job->tasks[0].crashes);
+}
+
 static void check_final_states(struct cellsim *s)
 {
 	struct sim_job *job;
@@ -1449,6 +1461,8 @@
 			c->slo_ms + (uint64_t)(c->stretch * job->work_ms);
 
 		if (job->crashes_minions) {
+			if (state == CELL_JOB_FAILED)
+				check_crashes(s, job);
 			s->result->crashing_jobs_ended +=
 				state == CELL_JOB_FAILED ||
 				state == CELL_JOB_COMPLETED;
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -16,7 +16,7 @@
 #define JOB_FIELDS 9
 #define STEP_FIELDS 13
 #define RECORD_FIELDS 5
-#define CRASH_RECORD_FIELDS 8
+#define CRASH_RECORD_FIELDS 9
 
 enum step_flag {
 	STEP_GANG = 1,
@@ -203,6 +203,7 @@
 		msgpack_pack_uint32(&pk, record->blame);
 		msgpack_pack_uint32(&pk, record->others);
 		msgpack_pack_uint64(&pk, record->age_ms);
+		msgpack_pack_uint32(&pk, record->begun);
 		return;
 	}
 	mp_pack_text(&pk, record->kind == CELL_RECORD_END ? record->checkpoint
@@ -213,6 +214,11 @@
 static bool unpack_crash(const msgpack_object *f, const char *minion,
 			 struct cell_record *record)
 {
+	uint32_t begun;
+
+	if (!mp_get_u32(&f[RECORD_FIELDS + 3], &begun))
+		return false;
+	record->begun = begun;
 	record->minion = minion;
 	return strlen(minion) < CELL_NAME_MAX &&
 	       mp_get_u32(&f[RECORD_FIELDS], &record->blame) &&
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -102,6 +102,7 @@
 	uint64_t age_ms;  /* CRASH: of the run */
 	uint32_t blame;	  /* CRASH: of the run, in thousandths */
 	uint32_t others;  /* CRASH: number of runs beside it */
+	bool begun;	  /* CRASH: the minion had confirmed the run */
 };
 
 /* A state change, for the log. */
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -26,6 +26,7 @@
 	uint64_t age_ms; /* from its start to the crash */
 	uint32_t blame;	 /* share of the task, in thousandths */
 	uint32_t others; /* runs beside it */
+	bool begun;	 /* the minion had confirmed the run */
 	char minion[CELL_NAME_MAX];
 };
 
--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -50,12 +50,13 @@
 /* The same, with those that it did not cause. */
 #define SUSPECT_CRASHES_ANY 3
 /*
- * A task is given up once its blame reaches GIVE_UP_BLAME, which takes two
- * crashes that hardly anything else explains, or more that it may have caused;
- * and after GIVE_UP_CRASHES_MAX in any case.
+ * A crash is decisive if so much of the blame falls on one run that is known to
+ * have begun. A task is given up after GIVE_UP_DECISIVE such crashes, and after
+ * GIVE_UP_CRASHES of any kind.
  */
-#define GIVE_UP_BLAME 1500
-#define GIVE_UP_CRASHES_MAX 5
+#define DECISIVE_BLAME 600
+#define GIVE_UP_DECISIVE 2
+#define GIVE_UP_CRASHES 5
 /*
  * Minions that fail within this time of each other, in ms, fail for a common
  * cause if there are COMMON_CAUSE_MINIONS of them: as connections break, and if
@@ -67,6 +68,7 @@
 /* The crashes that a task may have caused. */
 struct evidence {
 	uint32_t count;
+	uint32_t decisive;
 	uint32_t blame;
 };
 
@@ -85,6 +87,7 @@
 		if (crash->age_ms * AGE_SPREAD + AGE_MARGIN_MS < survived_ms)
 			continue;
 		e.count++;
+		e.decisive += crash->begun && crash->blame >= DECISIVE_BLAME;
 		e.blame += crash->blame;
 	}
 	return e;
@@ -118,8 +121,8 @@
 
 static bool must_give_up(const struct cell_task *task)
 {
-	return task->crash_count >= GIVE_UP_CRASHES_MAX ||
-	       get_evidence(task).blame >= GIVE_UP_BLAME;
+	return task->crash_count >= GIVE_UP_CRASHES ||
+	       get_evidence(task).decisive >= GIVE_UP_DECISIVE;
 }
 
 static bool crash_known(const struct cell_task *task, uint64_t run)
@@ -174,7 +177,8 @@
 	struct cell_crash crash = { .run = record->run,
 				    .age_ms = record->age_ms,
 				    .blame = record->blame,
-				    .others = record->others };
+				    .others = record->others,
+				    .begun = record->begun };
 
 	if (!task)
 		return;
@@ -192,6 +196,7 @@
 					.age_ms = crash->age_ms,
 					.blame = crash->blame,
 					.others = crash->others,
+					.begun = crash->begun,
 					.minion = crash->minion };
 }
 
@@ -204,7 +209,7 @@
 {
 	const struct cell_task *task = &step->tasks[index];
 	char name[CELL_TASK_MAX];
-	char detail[GIVE_UP_CRASHES_MAX * (CELL_NAME_MAX + 16)] = "";
+	char detail[GIVE_UP_CRASHES * (CELL_NAME_MAX + 16)] = "";
 	size_t len = 0;
 
 	for (uint32_t i = 0;
@@ -301,7 +306,8 @@
 	struct cell_crash crash = { .run = run->run,
 				    .age_ms = run_age_ms(run, at_ms),
 				    .blame = blame,
-				    .others = m->run_count - 1 };
+				    .others = m->run_count - 1,
+				    .begun = run->acked_ms || run->isolated };
 
 	memcpy(crash.minion, m->info.id, sizeof(crash.minion));
 	if (!task || task->state == CELL_TASK_DONE ||
