Keep containment across takeovers, and late jobs to half of the set

Containment is journalled now. Late jobs, of which more and more crash the longer they wait, took the room of the set, so that new jobs were refused long after the last bad one had come; they get half of it while others come.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -428,6 +428,7 @@
 		return record->task;
 	case CELL_RECORD_CANCEL:
 	case CELL_RECORD_STATE:
+	case CELL_RECORD_CONTAINED:
 		return record->job;
 	default:
 		return record->minion;
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -190,6 +190,7 @@
 		break;
 	case CELL_RECORD_CANCEL:
 	case CELL_RECORD_STATE:
+	case CELL_RECORD_CONTAINED:
 		mp_pack_text(&pk, record->job);
 		break;
 	default:
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -113,6 +113,7 @@
 	uint64_t sent_ms;
 	uint64_t acked_ms; /* start acknowledged, 0: not yet */
 	bool job_unknown;  /* the holder does not know the job */
+	bool late;	   /* of a contained queue, past its deadline */
 	bool isolated;	   /* of a suspect, started in isolation */
 	bool stopping;
 	bool stop_in_flight;
@@ -188,15 +189,17 @@
 	char queue[CELL_NAME_MAX];
 	char service[CELL_NAME_MAX];
 	bool active;
-	uint64_t crash_ms; /* latest crash */
-	uint32_t grown;	   /* size of its set by its crashes, 0: not set */
-	uint64_t grown_ms; /* latest change of that */
-	uint32_t size;	   /* of its set, with minions that are down */
-	uint32_t room;	   /* jobs that may be placed in this pass */
-	uint32_t waiting;  /* jobs without a start, in the latest pass */
-	uint32_t in_time;  /* those that can still meet their objective */
-	double starts;	   /* of jobs, of late, decaying */
-	double crashes;	   /* by them */
+	uint64_t crash_ms;   /* latest crash */
+	uint32_t grown;	     /* size of its set by its crashes, 0: not set */
+	uint64_t grown_ms;   /* latest change of that */
+	uint32_t size;	     /* of its set, with minions that are down */
+	uint32_t room;	     /* jobs that may be placed in this pass */
+	uint32_t late_room;  /* late ones of these */
+	uint32_t waiting;    /* jobs without a start, in the latest pass */
+	uint64_t in_time_ms; /* when there was one in time */
+	uint32_t in_time;    /* those that can still meet their objective */
+	double starts;	     /* of jobs, of late, decaying */
+	double crashes;	     /* by them */
 	uint64_t counted_ms;
 };
 
@@ -434,15 +437,22 @@
 /* contain.c */
 void cell_contain_crash(struct cell *cell, struct cell_minion *m,
 			const struct cell_run *run, uint64_t now_ms);
+void cell_contain_replay(struct cell *cell, const struct cell_record *record);
+void cell_contain_snapshot(const struct cell *cell,
+			   void (*emit)(void *ctx,
+					const struct cell_record *record),
+			   void *ctx);
 void cell_contain_update(struct cell *cell, uint64_t now_ms);
 bool cell_contain_permits(const struct cell *cell, const struct cell_minion *m,
 			  const char *queue);
-bool cell_contain_admits(struct cell *cell, const struct cell_step *step);
+bool cell_contain_admits(struct cell *cell, const struct cell_step *step,
+			 bool late);
 bool cell_contain_full(const struct cell *cell, const struct cell_minion *m,
 		       const struct cell_job *job);
 void cell_contain_start(struct cell *cell, const struct cell_job *job,
 			uint64_t now_ms);
-void cell_contain_waiting(struct cell *cell, const char *queue, bool late);
+void cell_contain_waiting(struct cell *cell, const char *queue, bool late,
+			  uint64_t now_ms);
 uint32_t cell_contain_isolation(const struct cell *cell, const char *queue);
 bool cell_contain_active(const struct cell *cell, const char *queue);
 
--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -35,6 +35,12 @@
 #define RELEASE_MS 5000
 /* The set grows by half after each such time without a crash, in ms. */
 #define GROW_MS 3000
+/*
+ * Late jobs get one minion of the set in LATE_SHARE while there were jobs in
+ * time within IN_TIME_RECENT_MS, all after that.
+ */
+#define LATE_SHARE 2
+#define IN_TIME_RECENT_MS 1000
 /* While jobs wait for a first start, suspects get one minion in this many. */
 #define SUSPECTS_SHARE 4
 /* A contained queue takes new jobs while its backlog is shorter, in ms. */
@@ -54,9 +60,9 @@
 
 /* Returns the state of the queue; adds it if it is new. */
 static struct cell_contained *contained_get(struct cell *cell,
-					    const struct cell_queue_spec *queue)
+					    const char *queue)
 {
-	struct cell_contained *q = contained_find(cell, queue->name);
+	struct cell_contained *q = contained_find(cell, queue);
 
 	if (q)
 		return q;
@@ -67,8 +73,7 @@
 		abort();
 	q = &cell->contained[cell->contained_count++];
 	*q = (struct cell_contained){ 0 };
-	snprintf(q->queue, sizeof(q->queue), "%s", queue->name);
-	snprintf(q->service, sizeof(q->service), "%s", queue->service);
+	snprintf(q->queue, sizeof(q->queue), "%s", queue);
 	return q;
 }
 
@@ -98,7 +103,7 @@
 		queue = cell_queue(cell, step->job->spec.queue);
 	if (!queue)
 		return;
-	q = contained_get(cell, queue);
+	q = contained_get(cell, queue->name);
 	decay(q, now_ms);
 	q->crashes++;
 	q->crash_ms = now_ms;
@@ -275,6 +280,29 @@
 	return room;
 }
 
+/*
+ * Returns how many more late jobs may run in the set. They get a part of it, so
+ * that those of them that crash minions leave room to jobs in time.
+ */
+static uint32_t late_room(const struct cell *cell,
+			  const struct cell_contained *q, uint64_t now_ms)
+{
+	uint32_t limit = at_least(q->size / LATE_SHARE, 1) * jobs_limit(q);
+	uint32_t n = 0;
+
+	if (now_ms > q->in_time_ms + IN_TIME_RECENT_MS)
+		return UINT32_MAX;
+
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		const struct cell_minion *m = cell->minions[i];
+
+		for (uint32_t r = 0; m->used && r < m->run_count; r++)
+			n += m->runs[r].late &&
+			     (is_member(m, q) || is_down_under(m, q));
+	}
+	return n < limit ? limit - n : 0;
+}
+
 /*
  * Sets the size of the set. It grows in steps while no minion crashes under
  * the queue and few are down, and falls back to its share once half of them
@@ -303,10 +331,15 @@
 {
 	for (uint32_t k = 0; k < cell->contained_count; k++) {
 		struct cell_contained *q = &cell->contained[k];
+		const struct cell_queue_spec *queue =
+			cell_queue(cell, q->queue);
 		uint32_t total = 0;
 		uint32_t down = 0;
 		uint32_t free_minions = 0;
 
+		if (queue)
+			snprintf(q->service, sizeof(q->service), "%s",
+				 queue->service);
 		for (uint32_t i = 0; i < cell->minion_count; i++) {
 			const struct cell_minion *m = cell->minions[i];
 
@@ -335,6 +368,7 @@
 		}
 		update_set(cell, q, now_ms);
 		q->room = set_room(cell, q);
+		q->late_room = late_room(cell, q, now_ms);
 	}
 }
 
@@ -343,7 +377,8 @@
  * only as many steps are as its set has room for: the others would take the
  * requests for advice from other queues.
  */
-bool cell_contain_admits(struct cell *cell, const struct cell_step *step)
+bool cell_contain_admits(struct cell *cell, const struct cell_step *step,
+			 bool late)
 {
 	struct cell_contained *q;
 
@@ -352,9 +387,10 @@
 	q = contained_find(cell, step->job->spec.queue);
 	if (!q || !q->active || step->tasks_active)
 		return true;
-	if (!q->room)
+	if (!q->room || (late && !q->late_room))
 		return false;
 	q->room--;
+	q->late_room -= late;
 	return true;
 }
 
@@ -386,15 +422,46 @@
 	q->starts++;
 }
 
+/* Replays that a queue was contained or released. */
+void cell_contain_replay(struct cell *cell, const struct cell_record *record)
+{
+	struct cell_contained *q = contained_get(cell, record->job);
+
+	q->crash_ms = cell->started_ms;
+	if (q->active != (record->run != 0))
+		set_active(cell, q, record->run != 0, 0);
+}
+
+/* Passes a record of each contained queue to @emit. */
+void cell_contain_snapshot(const struct cell *cell,
+			   void (*emit)(void *ctx,
+					const struct cell_record *record),
+			   void *ctx)
+{
+	for (uint32_t i = 0; i < cell->contained_count; i++) {
+		const struct cell_contained *q = &cell->contained[i];
+
+		if (q->active)
+			emit(ctx, &(struct cell_record){
+					  .kind = CELL_RECORD_CONTAINED,
+					  .job = q->queue,
+					  .run = 1 });
+	}
+}
+
 /* Counts a job of the queue that waits for its first start in this pass. */
-void cell_contain_waiting(struct cell *cell, const char *queue, bool late)
+void cell_contain_waiting(struct cell *cell, const char *queue, bool late,
+			  uint64_t now_ms)
 {
 	struct cell_contained *q = contained_find(cell, queue);
 
 	if (!q)
 		return;
 	q->waiting++;
-	q->in_time += !late;
+	if (late)
+		return;
+	q->in_time++;
+	q->in_time_ms = now_ms;
 }
 
 /*
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -208,6 +208,8 @@
 		cell_contain_start(cell, job, now_ms);
 	}
 	placed = cell_run_add(m, start.task, run, step->spec, &held, now_ms);
+	placed->late = cell->unix_ms > job->deadline_unix_ms &&
+		       cell_contain_active(cell, job->spec.queue);
 	placed->pace = CELL_PACE_FULL;
 	placed->pace_acked = true;
 	start.deadline_ms = cell_minion_renew_lease(cell, m, now_ms);
@@ -448,7 +450,7 @@
 	if (!step_is_settled(cell, entry))
 		return;
 	if (cell_step_give_up(cell, step, now_ms) || cell_suspects_only(step) ||
-	    !cell_contain_admits(cell, step))
+	    !cell_contain_admits(cell, step, entry->late))
 		return;
 	n = collect_candidates(cell, step, entry->queue, candidates, &yielded,
 			       now_ms);
@@ -508,7 +510,7 @@
 	for (uint32_t i = 0; i < n && cell->contained_active; i++) {
 		if (entries[i].step->job->state == CELL_JOB_QUEUED)
 			cell_contain_waiting(cell, entries[i].queue->name,
-					     entries[i].late);
+					     entries[i].late, now_ms);
 	}
 	if (suspects)
 		schedule_suspects(cell, entries, n, candidates, now_ms);
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -85,4 +85,5 @@
 	}
 	HASH_ITER(hh, cell->jobs, job, tmp)
 	emit_job(&e, job);
+	cell_contain_snapshot(cell, emit, ctx);
 }
