Test that a capacity that shrinks binds starts

A minion's capacity may shrink and grow while it runs. The scheduler takes it from each change of the list, runs that are being stopped hold theirs, and a minion that is over its capacity takes no start; no fault was found.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -23,6 +23,8 @@
 #define ORDER_TIMEOUT_MS 600
 #define RECORD_LATENCY_MS 14
 #define PREDECESSOR_LEASE_MS 7400
+/* From when on a smaller capacity binds: 4 s of contact and one heartbeat. */
+#define SHRINK_GRACE_MS 5000
 /*
  * No faults are injected in this last part of the simulation, so that all jobs
  * can finish: queued advice requests of deposed holders may occupy the advice
@@ -50,7 +52,8 @@
 	SIM_CRASH,
 	SIM_RACK_CRASH,
 	SIM_TASK_CRASH,
-	SIM_OUTAGE
+	SIM_OUTAGE,
+	SIM_SHRINK
 };
 
 /* Scheduled event; which fields are used depends on the kind. */
@@ -95,7 +98,10 @@
 	uint32_t incarnation;
 	uint64_t boot_ms;
 	uint64_t unresponsive_until_ms;
-	uint64_t down_until_ms; /* refuses connections until then */
+	uint64_t down_until_ms;	 /* refuses connections until then */
+	uint32_t shrunk_percent; /* capacity while shrunk */
+	uint64_t shrunk_ms;	 /* since when */
+	uint64_t shrunk_until_ms;
 	uint64_t token;
 	uint64_t lease_ms;
 	uint64_t next_number;
@@ -663,8 +669,21 @@
 	}
 }
 
+static bool is_shrunk(const struct cellsim *s, const struct sim_minion *m)
+{
+	return s->now < m->shrunk_until_ms;
+}
+
+static uint32_t capacity_of(uint32_t full, const struct sim_minion *m,
+			    bool shrunk)
+{
+	return shrunk ? full * m->shrunk_percent / 100 : full;
+}
+
 static void check_capacity(struct cellsim *s, struct sim_minion *m)
 {
+	bool shrunk =
+		is_shrunk(s, m) && s->now > m->shrunk_ms + SHRINK_GRACE_MS;
 	uint64_t cpu = 0;
 	uint64_t mem = 0;
 
@@ -675,7 +694,8 @@
 		cpu += job->cpu_milli;
 		mem += job->mem_mb;
 	}
-	if (cpu > s->settings->cpu_milli || mem > s->settings->mem_mb)
+	if (cpu > capacity_of(s->settings->cpu_milli, m, shrunk) ||
+	    mem > capacity_of(s->settings->mem_mb, m, shrunk))
 		report_violation(s, &s->result->over_capacity,
 				 "%s exceeds its capacity: %" PRIu64
 				 " millicores in use",
@@ -1059,12 +1079,15 @@
 
 	for (uint32_t i = 0; i < s->settings->minions; i++) {
 		struct cell_minion_info *info = &infos[i];
+		const struct sim_minion *m = &s->minions[i];
 
 		snprintf(info->id, sizeof(info->id), "%s", s->minions[i].id);
 		snprintf(info->addr, sizeof(info->addr), "10.0.0.1:80");
 		snprintf(info->service, sizeof(info->service), "svc");
-		info->capacity.cpu_milli = s->settings->cpu_milli;
-		info->capacity.mem_mb = s->settings->mem_mb;
+		info->capacity.cpu_milli =
+			capacity_of(s->settings->cpu_milli, m, is_shrunk(s, m));
+		info->capacity.mem_mb =
+			capacity_of(s->settings->mem_mb, m, is_shrunk(s, m));
 	}
 	cell_set_minions(s->cell, infos, s->settings->minions, s->now);
 	free(infos);
@@ -1224,6 +1247,18 @@
 	event_push(s, e, draw_around(s, s->settings->rack_crash_every_ms));
 }
 
+static void on_shrink(struct cellsim *s, struct event *e)
+{
+	struct sim_minion *m = &s->minions[draw(s) % s->settings->minions];
+
+	if (!is_shrunk(s, m)) {
+		m->shrunk_percent = 30 + (uint32_t)(draw(s) % 61);
+		m->shrunk_ms = s->now;
+		m->shrunk_until_ms = s->now + 1000 + draw(s) % 7000;
+	}
+	event_push(s, e, draw_around(s, s->settings->shrink_every_ms));
+}
+
 static void on_task_crash(struct cellsim *s, const struct event *e)
 {
 	struct sim_minion *m = &s->minions[e->minion];
@@ -1261,7 +1296,7 @@
 {
 	return kind == SIM_TAKEOVER || kind == SIM_UNRESPONSIVE ||
 	       kind == SIM_CRASH || kind == SIM_RACK_CRASH ||
-	       kind == SIM_OUTAGE;
+	       kind == SIM_SHRINK || kind == SIM_OUTAGE;
 }
 
 static void dispatch(struct cellsim *s, struct event *e)
@@ -1340,6 +1375,9 @@
 	case SIM_TASK_CRASH:
 		on_task_crash(s, e);
 		break;
+	case SIM_SHRINK:
+		on_shrink(s, e);
+		break;
 	case SIM_OUTAGE:
 		s->outage_until_ms = s->now + 1000 + draw(s) % 3000;
 		event_push(s, e, draw_around(s, s->settings->outage_every_ms));
@@ -1400,6 +1438,7 @@
 	schedule_fault(s, SIM_CRASH, set->crash_every_ms);
 	schedule_fault(s, SIM_RACK_CRASH, set->rack_crash_every_ms);
 	schedule_fault(s, SIM_OUTAGE, set->outage_every_ms);
+	schedule_fault(s, SIM_SHRINK, set->shrink_every_ms);
 }
 
 /*
--- a/fakes/cellsim.h
+++ b/fakes/cellsim.h
@@ -58,6 +58,8 @@
 	uint32_t crash_every_ms;	/* loses all runs */
 	uint32_t rack_crash_every_ms;	/* of a rack at once */
 	uint32_t outage_every_ms;	/* of the store, for 1 to 4 s */
+	/* The capacity of a minion shrinks to 30 to 90%, for 1 to 8 s. */
+	uint32_t shrink_every_ms;
 	/* Crashed minions refuse connections for this long, 0: 300 ms silent.
 	 */
 	uint32_t restart_ms;
--- a/tests/cellsim_test.cc
+++ b/tests/cellsim_test.cc
@@ -193,6 +193,22 @@
 	expect_invariants(r, s);
 }
 
+/*
+ * The same, and guards against starts that bring a minion over a capacity that
+ * has shrunk meanwhile.
+ */
+RC_GTEST_PROP(Cellsim, InvariantsHoldWhileCapacitiesShrink, ())
+{
+	struct cellsim_settings s =
+		base_settings(*rc::gen::inRange(1, 1 << 30));
+	struct cellsim_result r;
+
+	s.shrink_every_ms = *rc::gen::inRange(100, 1000);
+	s.takeover_every_ms = 5000;
+	cellsim_run(&s, &r);
+	expect_invariants(r, s);
+}
+
 /* The same with these faults and store outages combined. */
 RC_GTEST_PROP(Cellsim, InvariantsHoldUnderCombinedFaults, ())
 {
