--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -1,7 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
+#include "cell_fixture.h"
+
 extern "C" {
 #include "../fakes/cellsim.h"
+#include "../jaycelld/celld.h"
 }
 
 namespace
@@ -127,6 +133,94 @@
 	return r.met_slo[kind] * 100 / r.jobs_by_class[kind];
 }
 
+/* A cell whose minions crash. */
+struct CrashFixture : CellFixture {
+	explicit CrashFixture(uint32_t minion_count, uint32_t cpu = 8000)
+	{
+		queue("q", 0, 2);
+		cell_replay_done(cell, now);
+		minions(minion_count, cpu);
+	}
+
+	static void confirm(CellFixture &f, const Order &o)
+	{
+		cell_on_start(f.cell, o.minion, o.task.c_str(), o.run, CELL_OK,
+			      f.now);
+	}
+	void confirm()
+	{
+		confirm(*this, starts.back());
+	}
+	void confirm(const Order &o)
+	{
+		confirm(*this, o);
+	}
+
+	enum cell_job_state state(const char *id) const
+	{
+		return cell_get_job_state(cell, id);
+	}
+
+	/* The connection breaks @age_ms later, and is refused. */
+	static void disconnect(CellFixture &f, Order o, uint64_t age_ms)
+	{
+		f.tick(age_ms);
+		cell_on_poll_failed(f.cell, o.minion, o.minion_id.c_str(),
+				    CELL_NOT_SENT, f.now);
+		if (age_ms)
+			f.tick(20);
+	}
+	void disconnect(const Order &o, uint64_t age_ms)
+	{
+		disconnect(*this, o, age_ms);
+	}
+
+	/* A long poll ends without a response. */
+	void poll_times_out(const Order &o)
+	{
+		struct cell_poll poll;
+
+		cell_poll_request(cell, o.minion, &poll, now);
+		tick(poll.wait_ms + 700);
+		cell_on_poll_failed(cell, o.minion, o.minion_id.c_str(),
+				    CELL_NO_ANSWER, now);
+	}
+
+	/* Another process answers at the address, and then is listed. */
+	static void replace(CellFixture &f, Order o)
+	{
+		cell_on_poll_failed(f.cell, o.minion, o.minion_id.c_str(),
+				    CELL_OTHER_INCARNATION, f.now);
+		f.report(o.minion, o.minion_id, {}, {});
+	}
+	void replace(const Order &o)
+	{
+		replace(*this, o);
+	}
+
+	static void crash(CellFixture &f, Order o, uint64_t age_ms)
+	{
+		disconnect(f, o, age_ms);
+		f.tick(3000);
+		replace(f, o);
+		f.durable();
+	}
+	void crash(uint64_t age_ms)
+	{
+		crash(*this, starts.back(), age_ms);
+	}
+
+	/* All minions of an earlier term report that nothing runs there. */
+	static void settle(CellFixture &f, uint32_t count)
+	{
+		f.list(count, 8000);
+		for (uint32_t i = 0; i < count; i++)
+			f.report(i, "m" + std::to_string(i), {}, {});
+		f.durable();
+		f.tick(10);
+	}
+};
+
 class CrashByKind
     : public testing::TestWithParam<std::tuple<int, double, uint32_t>>
 {
@@ -218,3 +312,244 @@
 	EXPECT_GE(served_percent(r, CARD) * 4,
 		  served_percent(without, CARD) * 3);
 }
+
+/* Guards against a task that is given up for one crash, or for none. */
+TEST(Crash, TaskIsGivenUpAfterTwoCrashesThatAreItsOwn)
+{
+	CrashFixture f(3);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	f.crash(10);
+	EXPECT_EQ(f.state("j"), CELL_JOB_RUNNING);
+	f.tick(10);
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.confirm();
+	f.crash(10);
+	f.tick(10);
+	f.durable();
+	EXPECT_EQ(f.state("j"), CELL_JOB_FAILED);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
+/* Guards against a crash that counts although the run may not have begun. */
+TEST(Crash, RunThatTheMinionDidNotConfirmDoesNotCount)
+{
+	CrashFixture f(3);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.crash(10);
+	f.tick(10);
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.confirm();
+	f.crash(10);
+	f.tick(10);
+	f.durable();
+	EXPECT_EQ(f.state("j"), CELL_JOB_RUNNING);
+	EXPECT_EQ(f.starts.size(), 3U);
+}
+
+/* Guards against blame for a connection that was reset. */
+TEST(Crash, MinionThatAnswersAgainClearsItsRuns)
+{
+	CrashFixture f(3);
+	Order first;
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	first = f.starts[0];
+	f.disconnect(first, 10);
+	f.report(first.minion, first.minion_id,
+		 { { "j.0.0.0", first.run, "" } }, {});
+	f.tick(10);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.disconnect(first, 10);
+	/* The run was lost on the way: the minion is alive without it. */
+	f.report(first.minion, first.minion_id, {}, {});
+	f.durable();
+	f.tick(10);
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.confirm();
+	f.crash(10);
+	f.tick(10);
+	f.durable();
+	EXPECT_EQ(f.state("j"), CELL_JOB_RUNNING);
+	EXPECT_EQ(f.starts.size(), 3U);
+}
+
+/* Guards against jobs given up as a rack lost power twice. */
+TEST(Crash, MinionsThatFailTogetherLeaveNoBlame)
+{
+	CrashFixture f(4, 1000);
+
+	for (const char *id : { "a", "b", "c", "d" })
+		f.submit(CellFixture::job(id, "q", 1, 1000));
+	f.tick();
+	for (int round = 0; round < 3; round++) {
+		size_t first = f.starts.size() - 4;
+
+		ASSERT_EQ(f.starts.size() % 4, 0U);
+		for (size_t i = first; i < first + 4; i++)
+			f.confirm(f.starts[i]);
+		f.tick(500);
+		for (size_t i = first; i < first + 4; i++)
+			f.disconnect(f.starts[i], 0);
+		f.tick(20);
+		for (size_t i = first; i < first + 4; i++)
+			f.replace(f.starts[i]);
+		f.durable();
+		f.tick(50);
+	}
+	for (const char *id : { "a", "b", "c", "d" })
+		EXPECT_EQ(f.state(id), CELL_JOB_RUNNING);
+	EXPECT_EQ(f.starts.size(), 16U);
+}
+
+/* Guards against work given up as its minion was cut off. */
+TEST(Crash, MinionThatIsSilentUntilItsLeaseEndsLeavesNoBlame)
+{
+	CrashFixture f(4);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	for (int round = 1; round <= 3; round++) {
+		Order o;
+
+		ASSERT_EQ(f.starts.size(), static_cast<size_t>(round));
+		o = f.starts.back();
+		f.confirm();
+		f.poll_times_out(o);
+		for (int ms = 0;
+		     ms < 8000 && f.starts.size() == static_cast<size_t>(round);
+		     ms += 250) {
+			cell_on_poll_failed(f.cell, o.minion,
+					    o.minion_id.c_str(), CELL_NO_ANSWER,
+					    f.now);
+			f.tick(250);
+			f.durable();
+		}
+	}
+	EXPECT_EQ(f.starts.size(), 4U);
+	EXPECT_EQ(f.state("j"), CELL_JOB_RUNNING);
+}
+
+/* Guards against a start that a successor would not know to be repeated. */
+TEST(Crash, SuspectWaitsUntilItsCrashIsDurable)
+{
+	CrashFixture f(3);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	f.disconnect(f.starts[0], 10);
+	cell_on_poll_failed(f.cell, f.starts[0].minion,
+			    f.starts[0].minion_id.c_str(),
+			    CELL_OTHER_INCARNATION, f.now);
+	f.tick(500);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.durable();
+	f.tick(50);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
+/* Guards against a suspect that takes other work with it. */
+TEST(Crash, SuspectStartsOnAnEmptyMinionThatNothingElseUses)
+{
+	CrashFixture f(3);
+	uint32_t suspect;
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	f.crash(10);
+	f.submit(CellFixture::job("k", "q", 2, 1000));
+	f.tick(10);
+	ASSERT_EQ(f.starts.size(), 4U);
+	suspect = f.starts[1].minion;
+	EXPECT_EQ(f.starts[1].task, "j.0.0.0");
+	for (size_t i = 2; i < 4; i++)
+		EXPECT_NE(f.starts[i].minion, suspect);
+}
+
+/* Guards against crash counts and containment that a new holder does not know.
+ */
+TEST(Crash, RecordsAndSnapshotCarryCrashesAndContainment)
+{
+	CrashFixture f(3);
+	CellFixture g(9);
+	struct buf records = {};
+	struct buf batch = {};
+	struct Sink {
+		struct buf *out;
+		uint32_t count;
+	} sink = { &records, 0 };
+	std::vector<std::string> contained;
+	auto emit = [](void *ctx, const struct cell_record *r) {
+		auto *s = static_cast<Sink *>(ctx);
+
+		record_pack(r, s->out);
+		s->count++;
+	};
+	struct cell_record q = {};
+
+	q.kind = CELL_RECORD_CONTAINED;
+	q.job = "q";
+	q.run = 1;
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	f.crash(10);
+	cell_snapshot(f.cell, emit, &sink);
+	emit(&sink, &q);
+	record_pack_batch(&records, sink.count, &batch);
+	g.queue("q", 0, 2);
+	g.submit(CellFixture::job("j", "q", 1, 1000), false);
+	ASSERT_TRUE(record_replay_batch(batch.data, batch.len, g.cell));
+	cell_replay_done(g.cell, g.now);
+	cell_each_overload(
+		g.cell,
+		[](void *ctx, const char *queue, uint32_t) {
+			static_cast<std::vector<std::string> *>(ctx)->push_back(
+				queue);
+		},
+		&contained);
+	EXPECT_EQ(contained, std::vector<std::string>{ "q" });
+	CrashFixture::settle(g, 3);
+	ASSERT_EQ(g.starts.size(), 1U);
+	CrashFixture::confirm(g, g.starts[0]);
+	CrashFixture::crash(g, g.starts[0], 10);
+	g.tick(10);
+	g.durable();
+	EXPECT_EQ(cell_get_job_state(g.cell, "j"), CELL_JOB_FAILED);
+	buf_free(&records);
+	buf_free(&batch);
+}
+
+/* Guards against a malformed record of a crash that is taken as valid. */
+TEST(Crash, ShortRecordOfACrashIsRejected)
+{
+	/* One record: kind 5 and four fields, as of another kind. */
+	const char batch[] = "\x91\x95\x05\xa7"
+			     "j.0.0.0"
+			     "\x01\x00\xa2m0";
+	CellFixture g(9);
+
+	EXPECT_FALSE(record_replay_batch(batch, sizeof(batch) - 1, g.cell));
+}
+
+/* Guards against callers that wait for a job that cannot be in time. */
+TEST(Crash, JobThatWouldBeLateIsTold)
+{
+	CellFixture f;
+	struct cell_queue_spec *queue = f.queue("q", 0, 2);
+	struct cell_job_spec spec = CellFixture::job("j", "q", 1, 1000);
+
+	/* The objective is 1,000 ms and twice the 1,000 ms of the job. */
+	EXPECT_FALSE(cell_job_is_late(queue, &spec, 0));
+	EXPECT_FALSE(cell_job_is_late(queue, &spec, 2000));
+	EXPECT_TRUE(cell_job_is_late(queue, &spec, 2001));
+	cell_job_spec_free(&spec);
+}
