Do not give up work whose minions left, or that ran for seconds

Cause, by the log: both minions of its task had drained and left, after it had run for 4.5 and 5 s. The connection broke and the lease ended, as after a crash, and hardly anything else ran there, so that 0.96 of the blame fell on the task each time.

Change: a minion that drained leaves no blame. Before anything is known, one task in fifty is taken to crash its minion, so that a crash of a run of seconds is rather put down to the rate at which minions are lost; losses that a young run explains do not count for that rate.

Two tests fail without the change.

--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -10,8 +10,8 @@
  * crashes is given up, and its job fails.
  *
  * Losses that no single task explains leave no blame: minions that fail at the
- * same moment, as those of a rack without power, and minions that are silent
- * until their lease ends, as those cut off by the network.
+ * same moment, as those of a rack without power, those that are silent until
+ * their lease ends, as if cut off by the network, and those that drained.
  */
 #include <math.h>
 #include <stdio.h>
@@ -32,6 +32,11 @@
  * explained by that run: it is no sign of a common cause.
  */
 #define EXPLAINED_AGE_MS 100
+/*
+ * Share of the tasks that are taken to crash their minion before anything is
+ * known of them: a crash of a run of seconds is rather of another cause.
+ */
+#define CRASHING_SHARE 0.02
 /* Natural logarithm of the range of times from start to crash: 10 ms to 100 s.
  */
 #define AGE_LOG_RANGE 9.2
@@ -242,7 +247,7 @@
 /* Weight of a run in the blame for a crash; gang members share one. */
 static double blame_weight(const struct cell_run *run, uint64_t at_ms)
 {
-	return 1.0 / (double)(run_age_ms(run, at_ms) + AGE_FLOOR_MS);
+	return CRASHING_SHARE / (double)(run_age_ms(run, at_ms) + AGE_FLOOR_MS);
 }
 
 static bool is_first_of_run(const struct cell_minion *m, uint32_t at)
@@ -321,7 +326,7 @@
 					  NULL, 0, now_ms);
 }
 
-/* Returns the rate at which a minion is lost, per ms. */
+/* Returns the rate at which a minion is lost for other causes, per ms. */
 static double loss_rate(const struct cell *cell, uint64_t now_ms)
 {
 	double passed = (double)(now_ms - cell->losses_ms);
@@ -333,11 +338,17 @@
 	       ((double)LOSS_WINDOW_MS * n);
 }
 
-/* Counts a lost minion; the count decays exponentially. */
-static void count_loss(struct cell *cell, uint64_t now_ms)
+/*
+ * Counts a lost minion, unless a run explains it; the count decays
+ * exponentially.
+ */
+static void count_loss(struct cell *cell, const struct cell_minion *m,
+		       uint64_t now_ms)
 {
 	double passed = (double)(now_ms - cell->losses_ms);
 
+	if (m->explained)
+		return;
 	cell->losses = cell->losses * exp(-passed / LOSS_WINDOW_MS) + 1;
 	cell->losses_ms = now_ms;
 }
@@ -402,7 +413,7 @@
 	    now_ms <= m->failing_ms + COMMON_CAUSE_MS)
 		return;
 	m->blamed = true;
-	if (!m->run_count || has_common_cause(cell, m))
+	if (!m->run_count || m->info.draining || has_common_cause(cell, m))
 		return;
 	blame_runs(cell, m, now_ms);
 	youngest = youngest_run(m);
@@ -419,8 +430,8 @@
 {
 	if (!m->run_count)
 		return;
-	count_loss(cell, now_ms);
-	if (has_common_cause(cell, m)) {
+	count_loss(cell, m, now_ms);
+	if (m->info.draining || has_common_cause(cell, m)) {
 		cell_minion_clear_runs(cell, m);
 		return;
 	}
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -553,3 +553,49 @@
 	EXPECT_TRUE(cell_job_is_late(queue, &spec, 2001));
 	cell_job_spec_free(&spec);
 }
+
+/* Guards against work given up as its minion left as planned, twice. */
+TEST(Crash, MinionThatDrainsAndLeavesIsNoCrash)
+{
+	CrashFixture f(3);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	for (int i = 0; i < 3; i++) {
+		std::vector<struct cell_minion_info> infos;
+
+		ASSERT_EQ(f.starts.size(), static_cast<size_t>(i + 1));
+		f.confirm();
+		for (uint32_t k = 0; k < 3; k++) {
+			infos.push_back(CellFixture::minion(
+				"m" + std::to_string(k), 8000));
+			infos.back().draining = k == f.starts.back().minion;
+		}
+		cell_set_minions(f.cell, infos.data(), 3, f.now);
+		f.crash(10);
+		f.list(3, 8000);
+		f.tick(50);
+	}
+	EXPECT_EQ(f.state("j"), CELL_JOB_RUNNING);
+	EXPECT_EQ(f.starts.size(), 4U);
+}
+
+/* Guards against long work given up for two crashes that anything may have
+ * caused. */
+TEST(Crash, TaskThatRanForSecondsIsNotGivenUpForTwoCrashes)
+{
+	CrashFixture f(48);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	f.crash(4500);
+	f.tick(10);
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.confirm();
+	f.crash(5000);
+	f.tick(10);
+	f.durable();
+	EXPECT_EQ(f.state("j"), CELL_JOB_RUNNING);
+	EXPECT_EQ(f.starts.size(), 3U);
+}
