Play crashing tasks against real daemons, and explain them

A process test: two jobs whose task crashes each minion that starts it, beside 20 others, with the holder killed meanwhile.

The crash is silent here: polls time out.

--- a/fakes/platform_minion.c
+++ b/fakes/platform_minion.c
@@ -3,9 +3,10 @@
  * starts even beyond its capacity and counts violated invariants. The payload
  * of a task is a JSON object with optional members:
  * {"run_ms": N, "fail": true, "cpu": N, "mem_mb": N, "attempts": N,
- *  "width": N, "gang": true}
+ *  "width": N, "gang": true, "crash_ms": N}
  * "cpu" and "mem_mb" are the resources of the task, "width" is the number of
- * tasks in each step, "attempts" the number of failures allowed.
+ * tasks in each step, "attempts" the number of failures allowed. The first task
+ * of a step crashes its minion after "crash_ms".
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,6 +19,8 @@
 #include "platform.h"
 
 #define CPU_MILLI 8000
+/* How long a minion is away that a task has crashed, in ms. */
+#define TASK_CRASH_MS 1500
 #define MEM_MB 16000
 #define HEARTBEAT_MS 500
 #define LEASE_MAX_MS 6000
@@ -34,7 +37,8 @@
 	uint64_t number;
 	uint64_t started_ms;
 	uint64_t run_ms;
-	uint64_t ends_ms; /* 0: waits for the rest of its gang */
+	uint64_t crashes_ms; /* when it crashes the minion, 0: never */
+	uint64_t ends_ms;    /* 0: waits for the rest of its gang */
 	uint32_t cpu;
 	uint32_t mem_mb;
 	uint32_t gang; /* number of members, 0: no gang */
@@ -332,12 +336,31 @@
 		run->ends_ms = now + run->run_ms;
 }
 
+static void crash(struct platform_minions *p, struct minion *m,
+		  uint64_t for_ms);
+
+/* Crashes the minion if it is time for one of its runs to do so. */
+static bool crash_by_run(struct platform_minions *p, struct minion *m,
+			 uint64_t now)
+{
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		if (!m->runs[i].crashes_ms || now < m->runs[i].crashes_ms)
+			continue;
+		m->poll_call = 0;
+		crash(p, m, TASK_CRASH_MS);
+		return true;
+	}
+	return false;
+}
+
 static void tick_minion(struct platform_minions *p, struct minion *m,
 			uint64_t now)
 {
 	bool hangs = now < m->hang_until;
 	uint32_t i = 0;
 
+	if (crash_by_run(p, m, now))
+		return;
 	if (now > m->lease_ms)
 		discard_ends(p, m);
 	while (i < m->run_count) {
@@ -536,6 +559,13 @@
 			       run);
 }
 
+static bool is_first_of_step(const char *task)
+{
+	struct cell_task_name name;
+
+	return cell_task_parse(task, &name) && !name.index;
+}
+
 static void start_run(struct platform_minions *p, struct minion *m,
 		      const json_t *body, const char *task)
 {
@@ -562,6 +592,8 @@
 	snprintf(run->task, sizeof(run->task), "%s", task);
 	if (!run->run_ms)
 		run->run_ms = DEFAULT_RUN_MS;
+	if (get_u64(payload, "crash_ms") && is_first_of_step(task))
+		run->crashes_ms = now + get_u64(payload, "crash_ms");
 	if (json_is_true(json_object_get(payload, "gang")))
 		run->gang = (uint32_t)get_u64(payload, "width");
 	if (!run->gang)
--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -204,11 +204,15 @@
 		if (is_member(cell->minions[i], q))
 			cell->minions[i]->contained_queue[0] = '\0';
 	}
-	cell_event(cell,
-		   &(struct cell_event){ .what = active ? "queue-contained"
-							: "queue-released",
-					 .job = q->queue,
-					 .value = down });
+	if (active)
+		cell_event(cell,
+			   &(struct cell_event){ .what = "queue-contained",
+						 .job = q->queue,
+						 .value = down });
+	else
+		cell_event(cell, &(struct cell_event){ .what = "queue-released",
+						       .job = q->queue,
+						       .value = down });
 }
 
 static uint32_t at_least(uint32_t n, uint32_t min)
