Count the work of other queues at intervals while a queue is contained

Recruiting a set of 275 minions looked up the job of each run on 1,100 minions for each of them. The work of other queues is counted once each 100 ms.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -156,6 +156,7 @@
 	 */
 	char contained_queue[CELL_NAME_MAX]; /* empty: none */
 	char down_queue[CELL_NAME_MAX];	     /* empty: none */
+	uint32_t foreign_cpu; /* of runs of other queues than that */
 	uint32_t polls_in_flight;
 	bool poll_now;		 /* at once, even if a long poll is in flight */
 	uint64_t unknown_job_ms; /* first end of an unknown job, 0: none */
@@ -189,17 +190,19 @@
 	char queue[CELL_NAME_MAX];
 	char service[CELL_NAME_MAX];
 	bool active;
-	uint64_t crash_ms;   /* latest crash */
-	uint32_t grown;	     /* size of its set by its crashes, 0: not set */
-	uint64_t grown_ms;   /* latest change of that */
-	uint32_t size;	     /* of its set, with minions that are down */
-	uint32_t room;	     /* jobs that may be placed in this pass */
-	uint32_t late_room;  /* late ones of these */
-	uint32_t waiting;    /* jobs without a start, in the latest pass */
-	uint64_t in_time_ms; /* when there was one in time */
-	uint32_t in_time;    /* those that can still meet their objective */
-	double starts;	     /* of jobs, of late, decaying */
-	double crashes;	     /* by them */
+	uint64_t crash_ms;     /* latest crash */
+	uint32_t grown;	       /* size of its set by its crashes, 0: not set */
+	uint64_t grown_ms;     /* latest change of that */
+	uint32_t free_minions; /* that run no work of other queues */
+	uint64_t counted_cpu_ms; /* when that is counted again */
+	uint32_t size;		 /* of its set, with minions that are down */
+	uint32_t room;		 /* jobs that may be placed in this pass */
+	uint32_t late_room;	 /* late ones of these */
+	uint32_t waiting;	 /* jobs without a start, in the latest pass */
+	uint64_t in_time_ms;	 /* when there was one in time */
+	uint32_t in_time;	 /* those that can still meet their objective */
+	double starts;		 /* of jobs, of late, decaying */
+	double crashes;		 /* by them */
 	uint64_t counted_ms;
 };
 
--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -45,6 +45,11 @@
 #define SUSPECTS_SHARE 4
 /* A contained queue takes new jobs while its backlog is shorter, in ms. */
 #define BACKLOG_MAX_MS 20000
+/*
+ * Interval at which the work of other queues on all minions is counted, in ms:
+ * it looks up the job of each run.
+ */
+#define COUNT_INTERVAL_MS 100
 /* Time constant of the share of jobs that crash, in ms. */
 #define SHARE_WINDOW_MS 5000
 
@@ -124,9 +129,9 @@
 }
 
 /* Returns the CPU that runs of other queues hold on the minion. */
-static uint32_t foreign_cpu(const struct cell *cell,
-			    const struct cell_minion *m,
-			    const struct cell_contained *q)
+static uint32_t count_foreign_cpu(const struct cell *cell,
+				  const struct cell_minion *m,
+				  const struct cell_contained *q)
 {
 	uint32_t cpu = 0;
 
@@ -140,27 +145,42 @@
 	return cpu;
 }
 
+/* Counts the work of other queues on each minion of the service. */
+static void count_work(struct cell *cell, struct cell_contained *q,
+		       uint64_t now_ms)
+{
+	if (now_ms < q->counted_cpu_ms)
+		return;
+	q->counted_cpu_ms = now_ms + COUNT_INTERVAL_MS;
+	q->free_minions = 0;
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		struct cell_minion *m = cell->minions[i];
+
+		if (!m->used || !m->listed ||
+		    strcmp(m->info.service, q->service) != 0)
+			continue;
+		m->foreign_cpu = count_foreign_cpu(cell, m, q);
+		q->free_minions += !m->foreign_cpu;
+	}
+}
+
 /* Adds the minion with the least work of other queues. False if there is none.
  */
 static bool recruit(struct cell *cell, const struct cell_contained *q,
 		    uint64_t now_ms)
 {
 	struct cell_minion *best = NULL;
-	uint32_t best_cpu = 0;
 
 	for (uint32_t i = 0; i < cell->minion_count; i++) {
 		struct cell_minion *m = cell->minions[i];
-		uint32_t cpu;
 
 		if (!cell_minion_usable(cell, m, now_ms) ||
 		    m->contained_queue[0] ||
 		    strcmp(m->info.service, q->service) != 0)
 			continue;
-		cpu = foreign_cpu(cell, m, q);
-		if (best && cpu >= best_cpu)
+		if (best && m->foreign_cpu >= best->foreign_cpu)
 			continue;
 		best = m;
-		best_cpu = cpu;
 	}
 	if (best)
 		snprintf(best->contained_queue, sizeof(best->contained_queue),
@@ -197,6 +217,7 @@
 	/* The counts are of all minions: the set starts as much less. */
 	if (active) {
 		q->grown = 0;
+		q->counted_cpu_ms = 0;
 		q->starts /= SET_SHARE;
 		q->crashes /= SET_SHARE;
 	}
@@ -312,8 +333,8 @@
  * the queue and few are down, and falls back to its share once half of them
  * are.
  */
-static void resize(struct cell_contained *q, uint32_t total,
-		   uint32_t free_minions, uint32_t down, uint64_t now_ms)
+static void resize(struct cell_contained *q, uint32_t total, uint32_t down,
+		   uint64_t now_ms)
 {
 	uint32_t base = at_least(total / SET_SHARE, 1);
 
@@ -326,8 +347,8 @@
 		q->grown_ms = now_ms;
 	}
 	q->size = q->grown;
-	if (free_minions > base + q->size)
-		q->size = free_minions - base;
+	if (q->free_minions > base + q->size)
+		q->size = q->free_minions - base;
 }
 
 /* Contains and releases queues by the minions that are down under them. */
@@ -339,7 +360,6 @@
 			cell_queue(cell, q->queue);
 		uint32_t total = 0;
 		uint32_t down = 0;
-		uint32_t free_minions = 0;
 
 		if (queue)
 			snprintf(q->service, sizeof(q->service), "%s",
@@ -352,7 +372,6 @@
 				continue;
 			total++;
 			down += is_down_under(m, q);
-			free_minions += !foreign_cpu(cell, m, q);
 		}
 		if (!q->active && down >= at_least(total / TRIGGER_SHARE,
 						   TRIGGER_MINIONS_MIN))
@@ -365,7 +384,8 @@
 		decay(q, now_ms);
 		q->waiting = 0;
 		q->in_time = 0;
-		resize(q, total, free_minions, down, now_ms);
+		count_work(cell, q, now_ms);
+		resize(q, total, down, now_ms);
 		if (q->grown >= total) {
 			set_active(cell, q, false, down);
 			continue;
