--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -431,6 +431,7 @@
 	switch (record->kind) {
 	case CELL_RECORD_END:
 	case CELL_RECORD_CRASH:
+	case CELL_RECORD_CLEARED:
 		return record->task;
 	case CELL_RECORD_CANCEL:
 	case CELL_RECORD_STATE:
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -186,6 +186,7 @@
 	switch (record->kind) {
 	case CELL_RECORD_END:
 	case CELL_RECORD_CRASH:
+	case CELL_RECORD_CLEARED:
 		mp_pack_text(&pk, record->task);
 		break;
 	case CELL_RECORD_CANCEL:
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -86,6 +86,7 @@
 	CELL_RECORD_SETTLED,  /* no run is left on a minion */
 	CELL_RECORD_STATE,    /* terminal state of a job, in @run */
 	CELL_RECORD_CRASH,    /* a minion crashed under a run */
+	CELL_RECORD_CLEARED,  /* the minion had not crashed under a run */
 	/* A queue, in @job, was contained or released, in @run. */
 	CELL_RECORD_CONTAINED,
 	CELL_RECORD_KINDS
@@ -95,8 +96,8 @@
 struct cell_record {
 	enum cell_record_kind kind;
 	const char *job;	/* CANCEL, STATE; CONTAINED: a queue */
-	const char *task;	/* END, CRASH */
-	uint64_t run;		/* END, CRASH; STATE: the state */
+	const char *task;	/* END, CRASH, CLEARED */
+	uint64_t run;		/* END, CRASH, CLEARED; STATE: the state */
 	enum cell_end end;	/* END */
 	const char *checkpoint; /* END; NULL or empty: none */
 	const char *minion;
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -412,8 +412,9 @@
 void cell_crash_replay(struct cell *cell, const struct cell_record *record);
 void cell_crash_record(const struct cell_crash *crash, const char *task,
 		       struct cell_record *record);
-void cell_crash_clear(struct cell *cell, const char *name, uint64_t run);
-void cell_minion_clear_runs(struct cell *cell, const struct cell_minion *m);
+bool cell_crash_clear(struct cell *cell, const char *name, uint64_t run);
+void cell_minion_clear_runs(struct cell *cell, const struct cell_minion *m,
+			    uint64_t now_ms);
 void cell_minion_blame_early(struct cell *cell, struct cell_minion *m,
 			     uint64_t now_ms);
 void cell_minion_blame(struct cell *cell, struct cell_minion *m,
--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -158,9 +158,9 @@
 
 /*
  * Removes a crash under a run that has ended, or goes on: its minion had not
- * crashed.
+ * crashed. Returns true if there was one.
  */
-void cell_crash_clear(struct cell *cell, const char *name, uint64_t run)
+bool cell_crash_clear(struct cell *cell, const char *name, uint64_t run)
 {
 	struct cell_step *step;
 	struct cell_task *task = cell_task_find(cell, name, &step);
@@ -170,8 +170,9 @@
 			continue;
 		task->crashes[i] = task->crashes[--task->crash_count];
 		step->crashes--;
-		return;
+		return true;
 	}
+	return false;
 }
 
 /* Replays a crash record of an earlier term. */
@@ -275,6 +276,11 @@
 	return a > b ? a - b : b - a;
 }
 
+static uint64_t common_cause_ms(const struct cell_minion *m)
+{
+	return m->disconnected ? COMMON_CAUSE_MS : COMMON_CAUSE_TIMEOUT_MS;
+}
+
 /*
  * Returns true if so many minions failed at the same time that no single run
  * can be the cause. A gang is one: it may crash the minions of all its members.
@@ -376,11 +382,24 @@
 	}
 }
 
-/* Removes the crashes under the runs of a minion, which had another cause. */
-void cell_minion_clear_runs(struct cell *cell, const struct cell_minion *m)
+/*
+ * Removes the crashes under the runs of a minion, which had another cause, also
+ * from the journal.
+ */
+void cell_minion_clear_runs(struct cell *cell, const struct cell_minion *m,
+			    uint64_t now_ms)
 {
-	for (uint32_t i = 0; i < m->run_count; i++)
-		cell_crash_clear(cell, m->runs[i].task, m->runs[i].run);
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		const struct cell_run *run = &m->runs[i];
+
+		if (cell_crash_clear(cell, run->task, run->run))
+			cell_record_add(cell,
+					&(struct cell_record){
+						.kind = CELL_RECORD_CLEARED,
+						.task = run->task,
+						.run = run->run },
+					NULL, NULL, 0, now_ms);
+	}
 }
 
 /*
@@ -399,18 +418,18 @@
 }
 
 /*
- * Blames the runs of a minion whose connection broke, as soon as it is known
- * whether others failed at the same time. It is found to be replaced, or alive,
- * only seconds later; until then a holder that takes over would not know the
- * crash. If the minion is alive, the runs are cleared.
+ * Blames the runs of a minion that fails, as soon as it is known whether others
+ * fail at the same time. It is found to be replaced, or alive, only seconds
+ * later; until then a holder that takes over would not know the crash. If the
+ * minion is alive, or was cut off, the runs are cleared.
  */
 void cell_minion_blame_early(struct cell *cell, struct cell_minion *m,
 			     uint64_t now_ms)
 {
 	const struct cell_run *youngest;
 
-	if (!m->failing || !m->disconnected || m->blamed ||
-	    now_ms <= m->failing_ms + COMMON_CAUSE_MS)
+	if (!m->failing || m->blamed ||
+	    now_ms <= m->failing_ms + common_cause_ms(m))
 		return;
 	m->blamed = true;
 	if (!m->run_count || m->info.draining || has_common_cause(cell, m))
@@ -432,7 +451,7 @@
 		return;
 	count_loss(cell, m, now_ms);
 	if (m->info.draining || has_common_cause(cell, m)) {
-		cell_minion_clear_runs(cell, m);
+		cell_minion_clear_runs(cell, m, now_ms);
 		return;
 	}
 	blame_runs(cell, m, now_ms);
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -686,6 +686,9 @@
 	case CELL_RECORD_CRASH:
 		cell_crash_replay(cell, record);
 		break;
+	case CELL_RECORD_CLEARED:
+		cell_crash_clear(cell, record->task, record->run);
+		break;
 	case CELL_RECORD_CONTAINED:
 		cell_contain_replay(cell, record);
 		break;
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -650,7 +650,7 @@
 	if (report->born_unix_ms)
 		m->born_unix_ms = report->born_unix_ms;
 	if (m->failing)
-		cell_minion_clear_runs(cell, m);
+		cell_minion_clear_runs(cell, m, now_ms);
 	m->failing = false;
 	m->alive_ms = now_ms;
 	m->clock_known = true;
@@ -803,6 +803,8 @@
 		/* A process that is cut off is not disconnected: it may run. */
 		if (m->disconnected)
 			cell_minion_blame(cell, m, now_ms);
+		else
+			cell_minion_clear_runs(cell, m, now_ms);
 		minion_settle(cell, m, "lease ended", now_ms);
 	}
 	if (m->inherited && now_ms >= m->settle_deadline_ms)
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -599,3 +599,55 @@
 	EXPECT_EQ(f.state("j"), CELL_JOB_RUNNING);
 	EXPECT_EQ(f.starts.size(), 3U);
 }
+
+/* Guards against silent crashes that a new holder does not know. */
+TEST(Crash, SilentCrashIsDurableBeforeTheMinionIsBack)
+{
+	CrashFixture f(3);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	f.poll_times_out(f.starts[0]);
+	f.records.clear();
+	for (int ms = 0; ms < 2500; ms += 250) {
+		cell_on_poll_failed(f.cell, f.starts[0].minion,
+				    f.starts[0].minion_id.c_str(),
+				    CELL_NO_ANSWER, f.now);
+		f.tick(250);
+	}
+	EXPECT_EQ(f.records.size(), 1U);
+}
+
+/* Guards against a crash in the journal that was none. */
+TEST(Crash, ClearedCrashIsClearedForASuccessor)
+{
+	CellFixture g(9);
+	struct buf records = {};
+	struct buf batch = {};
+	struct cell_record r = {};
+
+	r.kind = CELL_RECORD_CRASH;
+	r.task = "j.0.0.0";
+	r.run = 77;
+	r.minion = "m0";
+	r.blame = 990;
+	r.begun = true;
+	record_pack(&r, &records);
+	r.kind = CELL_RECORD_CLEARED;
+	record_pack(&r, &records);
+	record_pack_batch(&records, 2, &batch);
+	g.queue("q", 0, 2);
+	g.submit(CellFixture::job("j", "q", 1, 1000), false);
+	ASSERT_TRUE(record_replay_batch(batch.data, batch.len, g.cell));
+	cell_replay_done(g.cell, g.now);
+	CrashFixture::settle(g, 3);
+	ASSERT_EQ(g.starts.size(), 1U);
+	CrashFixture::confirm(g, g.starts[0]);
+	CrashFixture::crash(g, g.starts[0], 10);
+	g.tick(10);
+	g.durable();
+	EXPECT_EQ(cell_get_job_state(g.cell, "j"), CELL_JOB_RUNNING);
+	buf_free(&records);
+	buf_free(&batch);
+}
