Take late reports of crashes and minions that answer again into account

Cause, by the log: its third crash was seen 90 ms late, at an age of 100 ms. The crashes at 11 and 12 ms, each alone on its minion, then counted as too early to be its doing. Its second crash did not count at all, as other minions had failed within 10 ms, which answered again.

Change: ages are told apart from half a second on, and a minion that answers again is no sign of a common cause. Two tests fail without.

--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -44,10 +44,10 @@
 #define LOSS_WINDOW_MS 30000
 /*
  * A task that has once run for longer than AGE_SPREAD times the age at which a
- * crash took it, and a margin in ms, did not cause that crash.
+ * crash took it, and a margin in ms for late reports, did not cause that crash.
  */
 #define AGE_SPREAD 2
-#define AGE_MARGIN_MS 50
+#define AGE_MARGIN_MS 500
 /* Blame from which a task is suspected: the more likely cause than not. */
 #define SUSPECT_BLAME 500
 /* Crashes from which a task is suspected whatever its blame. */
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -646,11 +646,12 @@
 		set_failing(m, false, now_ms);
 		cell_minion_blame(cell, m, now_ms);
 		minion_settle(cell, m, "another life", now_ms);
+	} else if (m->failing) {
+		cell_minion_clear_runs(cell, m, now_ms);
+		m->failing_ms = 0;
 	}
 	if (report->born_unix_ms)
 		m->born_unix_ms = report->born_unix_ms;
-	if (m->failing)
-		cell_minion_clear_runs(cell, m, now_ms);
 	m->failing = false;
 	m->alive_ms = now_ms;
 	m->clock_known = true;
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -651,3 +651,56 @@
 	buf_free(&records);
 	buf_free(&batch);
 }
+
+/* Guards against crashes that do not count as a late report made one look
+ * older. */
+TEST(Crash, CrashesAFewTensOfMillisecondsApartAreOfOneKind)
+{
+	CrashFixture f(5);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	f.crash(100);
+	f.tick(10);
+	f.confirm();
+	f.crash(11);
+	f.tick(10);
+	f.durable();
+	EXPECT_EQ(f.state("j"), CELL_JOB_FAILED);
+}
+
+/* Guards against a crash that does not count as other minions did not answer
+ * once. */
+TEST(Crash, MinionsThatAnswerAgainAreNoCommonCause)
+{
+	CrashFixture f(6, 1000);
+
+	for (const char *id : { "a", "b", "c", "d" })
+		f.submit(CellFixture::job(id, "q", 1, 1000));
+	f.tick(500);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 5U);
+	for (int round = 0; round < 2; round++) {
+		Order crashed = f.starts.back();
+
+		f.confirm();
+		f.tick(10);
+		for (size_t i = 0; i < 4; i++)
+			f.disconnect(f.starts[i], 0);
+		f.disconnect(crashed, 0);
+		f.tick(20);
+		for (size_t i = 0; i < 4; i++)
+			f.report(f.starts[i].minion, f.starts[i].minion_id,
+				 { { f.starts[i].task, f.starts[i].run, "" } },
+				 {});
+		f.tick(3000);
+		f.replace(crashed);
+		f.durable();
+		f.tick(50);
+		f.durable();
+	}
+	EXPECT_EQ(f.state("j"), CELL_JOB_FAILED);
+	EXPECT_EQ(f.state("a"), CELL_JOB_RUNNING);
+}
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -30,6 +30,8 @@
 #define STEPS_MAX 2
 #define CANCEL_ONE_IN 12 /* average number of jobs per cancel */
 #define FAIL_ONE_IN 25
+#define CRASH_ONE_IN 61
+#define CRASH_AFTER_MS 30
 #define GANG_ONE_IN 4
 
 enum job_phase {
@@ -45,6 +47,7 @@
 	bool quick; /* in the queue that uses advice */
 	bool gang;
 	bool fails;
+	bool crashes; /* its first task crashes each minion that starts it */
 	uint32_t steps;
 	uint32_t width;
 	uint32_t cpu;
@@ -273,7 +276,7 @@
 				    (int)job->cpu, "mem_mb", 500, "attempts",
 				    TASK_ATTEMPTS, "width", (int)job->width,
 				    "gang", job->gang);
-	char *spec = json_dumps(payload, JSON_COMPACT);
+	char *spec;
 	json_t *body;
 	char *text;
 
@@ -288,6 +291,10 @@
 					    json_pack("[i]", (int)i - 1));
 		json_array_append_new(steps, step);
 	}
+	if (job->crashes)
+		json_object_set_new(payload, "crash_ms",
+				    json_integer(CRASH_AFTER_MS));
+	spec = json_dumps(payload, JSON_COMPACT);
 	body = json_pack("{s:s,s:o}", "spec", spec, "steps", steps);
 	text = json_dumps(body, JSON_COMPACT);
 	job->tries++;
@@ -337,6 +344,8 @@
 	};
 	if (!soak_random(s, CANCEL_ONE_IN))
 		job->cancel_at_ms = now + soak_random(s, 3000);
+	/* No number is drawn, so that seeds play the same faults as before. */
+	job->crashes = c->count % CRASH_ONE_IN == CRASH_ONE_IN - 1;
 	snprintf(job->id, sizeof(job->id), "%08x%08x",
 		 (uint32_t)s->options.seed, c->count);
 	c->count++;
@@ -458,7 +467,11 @@
 	    counts.done < job->steps * job->width)
 		soak_violation(s, "job %s: completed with %u of %u tasks done",
 			       job->id, counts.done, job->steps * job->width);
-	if (!strcmp(job->state, "failed") && counts.failed < TASK_ATTEMPTS)
+	if (job->crashes && !strcmp(job->state, "failed") && counts.starts < 2)
+		soak_violation(s, "job %s: given up after %u starts", job->id,
+			       counts.starts);
+	else if (!job->crashes && !strcmp(job->state, "failed") &&
+		 counts.failed < TASK_ATTEMPTS)
 		soak_violation(s, "job %s: failed after %u failures", job->id,
 			       counts.failed);
 	if (job->cancelled_unix_ms &&
