--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -41,6 +41,8 @@
  */
 #define LATE_SHARE 2
 #define IN_TIME_RECENT_MS 1000
+/* Jobs of the queue that run side by side on a minion of the set, at most. */
+#define JOBS_PER_MINION_MAX 1000
 /* While jobs wait for a first start, suspects get one minion in this many. */
 #define SUSPECTS_SHARE 4
 /* A contained queue takes new jobs while its backlog is shorter, in ms. */
@@ -225,6 +227,13 @@
 		if (is_member(cell->minions[i], q))
 			cell->minions[i]->contained_queue[0] = '\0';
 	}
+	if (!cell->replaying)
+		cell_record_add(
+			cell,
+			&(struct cell_record){ .kind = CELL_RECORD_CONTAINED,
+					       .job = q->queue,
+					       .run = active },
+			NULL, NULL, 0, 0);
 	if (active)
 		cell_event(cell,
 			   &(struct cell_event){ .what = "queue-contained",
@@ -258,9 +267,9 @@
 /* Returns how many jobs may run side by side on a minion of the set. */
 static uint32_t jobs_limit(const struct cell_contained *q)
 {
-	return q->starts > 2 * q->crashes
-		       ? (uint32_t)(q->starts / (2 * q->crashes))
-		       : 1;
+	if (q->starts >= 2 * JOBS_PER_MINION_MAX * q->crashes)
+		return JOBS_PER_MINION_MAX;
+	return at_least((uint32_t)(q->starts / (2 * q->crashes)), 1);
 }
 
 static bool same_job(const char *task, const char *other)
@@ -430,8 +439,7 @@
 	if (!m->contained_queue[0])
 		return false;
 	q = contained_find(cell, m->contained_queue);
-	return q->crashes > 0 &&
-	       count_other_jobs(m, job->spec.id) >= jobs_limit(q);
+	return count_other_jobs(m, job->spec.id) >= jobs_limit(q);
 }
 
 /* Counts the first start of a job of a queue that has crashed minions. */
@@ -452,6 +460,10 @@
 	struct cell_contained *q = contained_get(cell, record->job);
 
 	q->crash_ms = cell->started_ms;
+	q->counted_ms = cell->started_ms;
+	/* The share of its jobs that crash is not known: it starts high. */
+	q->starts = SET_SHARE;
+	q->crashes = SET_SHARE;
 	if (q->active != (record->run != 0))
 		set_active(cell, q, record->run != 0, 0);
 }
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -704,3 +704,24 @@
 	EXPECT_EQ(f.state("j"), CELL_JOB_FAILED);
 	EXPECT_EQ(f.state("a"), CELL_JOB_RUNNING);
 }
+
+/* Guards against a takeover that starts all jobs of a contained queue at once.
+ */
+TEST(Crash, ContainmentIsJournalled)
+{
+	CrashFixture f(12, 1000);
+	size_t before;
+
+	for (const char *id : { "a", "b" })
+		f.submit(CellFixture::job(id, "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 2U);
+	for (const Order &o : f.starts)
+		f.confirm(o);
+	for (size_t i = 0; i < 2; i++)
+		f.disconnect(f.starts[i], 10);
+	before = f.records.size();
+	f.submit(CellFixture::job("c", "q", 1, 1000));
+	f.tick(60);
+	EXPECT_EQ(f.records.size(), before + 1);
+}
