--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -249,8 +249,13 @@
 	uint32_t end;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY || !o->via.array.size ||
-	    !mp_get_u32(&f[0], &kind) || kind >= CELL_RECORD_KINDS ||
-	    !is_array(o, kind == CELL_RECORD_CRASH ? CRASH_RECORD_FIELDS
+	    !mp_get_u32(&f[0], &kind))
+		return false;
+	if (kind >= CELL_RECORD_KINDS) {
+		ev("journal-unknown", "kind=%u", kind);
+		return true;
+	}
+	if (!is_array(o, kind == CELL_RECORD_CRASH ? CRASH_RECORD_FIELDS
 						   : RECORD_FIELDS) ||
 	    !get_text(&f[1], subject, sizeof(subject)) ||
 	    !mp_get_u64(&f[2], &record.run) || !mp_get_u32(&f[3], &end) ||
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -725,3 +725,27 @@
 	f.tick(60);
 	EXPECT_EQ(f.records.size(), before + 1);
 }
+
+/* Guards against records of a newer version that hide the rest of their batch.
+ */
+TEST(Record, UnknownKindIsPassedOver)
+{
+	struct buf batch = {};
+	struct buf known = {};
+	struct cell_record r = {};
+	CellFixture g(9);
+
+	r.kind = CELL_RECORD_CANCEL;
+	r.job = "j";
+	record_pack(&r, &known);
+	/* Two records, of which the first is of kind 99 and has two fields. */
+	buf_append(&batch, "\x92\x92\x63\xa1x", 5);
+	buf_append(&batch, known.data, known.len);
+	g.queue("q", 0, 2);
+	g.submit(CellFixture::job("j", "q", 1, 1000), false);
+	EXPECT_TRUE(record_replay_batch(batch.data, batch.len, g.cell));
+	cell_replay_done(g.cell, g.now);
+	EXPECT_EQ(cell_get_job_state(g.cell, "j"), CELL_JOB_CANCELLED);
+	buf_free(&batch);
+	buf_free(&known);
+}
