Back off from advice requests that have no response

Looked for while mending retries without a memory: the request of a step was repeated each 100 ms for as long as the service did not answer, 37 times in 4 s. The delay doubles up to 800 ms and is back at 100 ms with the first response. The test fails without.

--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -40,6 +40,8 @@
 #define RACK_SHIFT 12
 /* Delay after a request that failed or found no minions to ask about, in ms. */
 #define ADVICE_RETRY_MS 100
+/* The delay doubles so often at most with each request that failed. */
+#define ADVICE_BACKOFF_MAX 3
 
 static struct cell_accept_rate *accept_rate_get(struct cell *cell,
 						const char *queue)
@@ -565,9 +567,13 @@
 	step->advice_in_flight = false;
 	queue = cell->config ? cell_queue(cell, step->job->spec.queue) : NULL;
 	if (!answered || !queue) {
-		step->advice_after_ms = now_ms + ADVICE_RETRY_MS;
+		step->advice_after_ms =
+			now_ms + (ADVICE_RETRY_MS << step->advice_failures);
+		if (step->advice_failures < ADVICE_BACKOFF_MAX)
+			step->advice_failures++;
 		return;
 	}
+	step->advice_failures = 0;
 	rate = accept_rate_get(cell, queue->name);
 	for (uint32_t i = 0; i < q->count; i++) {
 		uint32_t m = q->minions[i];
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -70,6 +70,7 @@
 	bool in_ready_list;
 	bool advice_in_flight;
 	uint64_t advice_after_ms;
+	uint32_t advice_failures; /* requests without a response in a row */
 	uint32_t advice_requests_sent;
 	uint32_t grant_count;
 	struct cell_grant *grants;
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -1144,3 +1144,33 @@
 	}
 	EXPECT_EQ(f.starts.size(), 2U);
 }
+
+/* Guards against advice requests that are repeated at once without a response.
+ */
+TEST(Advice, RequestsWithoutAResponseBackOff)
+{
+	CellFixture f;
+	struct cell_queue_spec *q = f.queue("q", 0, 2);
+	std::vector<uint64_t> sent;
+
+	q->advice.needed = true;
+	q->advice.decide_ms = 5;
+	q->advice.valid_ms = 2500;
+	cell_replay_done(f.cell, f.now);
+	f.minions(4, 8000);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	for (int ms = 0; ms < 4000; ms += 10) {
+		f.tick(10);
+		for (const AdviceRequest &r : f.advice_requests) {
+			sent.push_back(f.now);
+			cell_on_advice(f.cell, r.handle, false, nullptr, 0,
+				       f.now);
+		}
+		f.advice_requests.clear();
+	}
+	/* Delays of 100, 200, 400 and then 800 ms. */
+	ASSERT_GE(sent.size(), 5U);
+	EXPECT_LE(sent.size(), 8U);
+	EXPECT_LE(sent[1] - sent[0], 200U);
+	EXPECT_GE(sent[4] - sent[3], 800U);
+}
