Do not touch a submission after it may have been answered

Found by reading: accept_job() may answer at once, which frees the request, and its encoded job was freed after that. Comments of crash.c say what it does now.

--- a/jaycelld/entry.c
+++ b/jaycelld/entry.c
@@ -115,11 +115,15 @@
 	}
 }
 
+/* Stores the job of a submission. */
 static void store_job(struct request *r)
 {
-	accept_job(r->entry->d->acceptor, r->id, &r->record, true,
-		   r->deadline_ms, on_accepted, r);
-	buf_free(&r->record);
+	struct buf record = buf_take(&r->record);
+
+	/* The response may be sent, and the request freed, at once. */
+	accept_job(r->entry->d->acceptor, r->id, &record, true, r->deadline_ms,
+		   on_accepted, r);
+	buf_free(&record);
 }
 
 /* Refuses a job of an overloaded queue, unless an earlier try stored it. */
@@ -143,7 +147,7 @@
 	uint32_t wait_ms;
 	struct cell_job_spec spec;
 	struct err err = { 0 };
-	bool too_late;
+	bool late;
 
 	if (!pf_decode_job(r->body.data, r->body.len, &spec, &err)) {
 		ev("job-refused", "id=%s why=\"%s\"", r->id, err.text);
@@ -155,9 +159,9 @@
 	spec.accepted_unix_ms = cd_unix_ms();
 	record_pack_job(&spec, &r->record);
 	wait_ms = overload_wait_ms(d->overload, queue->name, loop_now_ms());
-	too_late = cell_job_is_late(queue, &spec, wait_ms);
+	late = cell_job_is_late(queue, &spec, wait_ms);
 	cell_job_spec_free(&spec);
-	if (!too_late) {
+	if (!late) {
 		store_job(r);
 		return;
 	}
--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -70,6 +70,7 @@
 #define COMMON_CAUSE_MS 10
 #define COMMON_CAUSE_TIMEOUT_MS 2000
 #define COMMON_CAUSE_MINIONS 3
+
 /* The crashes that a task may have caused. */
 struct evidence {
 	uint32_t count;
@@ -230,7 +231,6 @@
 	cell_event(cell,
 		   &(struct cell_event){ .what = "task-given-up",
 					 .task = name,
-					 .minion = NULL,
 					 .run = task->run,
 					 .detail = detail,
 					 .age_ms = now_ms - step->unblocked_ms,
@@ -245,7 +245,11 @@
 	return at_ms > run->sent_ms ? at_ms - run->sent_ms : 0;
 }
 
-/* Weight of a run in the blame for a crash; gang members share one. */
+/*
+ * Returns the weight of a run in the blame for a crash: the rate, per ms, at
+ * which runs of its age crash a minion, but for a factor. Gang members share
+ * it.
+ */
 static double blame_weight(const struct cell_run *run, uint64_t at_ms)
 {
 	return CRASHING_SHARE / (double)(run_age_ms(run, at_ms) + AGE_FLOOR_MS);
@@ -288,8 +292,7 @@
 static bool has_common_cause(const struct cell *cell,
 			     const struct cell_minion *m)
 {
-	uint64_t window =
-		m->disconnected ? COMMON_CAUSE_MS : COMMON_CAUSE_TIMEOUT_MS;
+	uint64_t window = common_cause_ms(m);
 	const struct cell_run *youngest = youngest_run(m);
 	uint32_t n = 0;
 
@@ -441,8 +444,8 @@
 }
 
 /*
- * Blames the runs of a minion that has crashed, and gives up the tasks that are
- * the likely cause.
+ * Blames the runs of a minion that has crashed, and logs the suspects among
+ * their tasks.
  */
 void cell_minion_blame(struct cell *cell, struct cell_minion *m,
 		       uint64_t now_ms)
