Give up tasks of wide steps after three crashes

Looked for by reading: four tasks of a step that start together on a minion share the blame, so that two crashes of one of them were not decisive, and with two more it had used four of its five starts; one crash that does not count, for a rack that fails at the same moment, makes a sixth. One decisive crash among three with a fifth of the blame each suffices now. The test fails without.

--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -56,11 +56,15 @@
 #define SUSPECT_CRASHES_ANY 3
 /*
  * A crash is decisive if so much of the blame falls on one run that is known to
- * have begun. A task is given up after GIVE_UP_DECISIVE such crashes, and after
- * GIVE_UP_CRASHES of any kind.
+ * have begun, and likely if a fifth does: the tasks of a step that start
+ * together on a minion share the blame. A task is given up after
+ * GIVE_UP_DECISIVE decisive crashes, after one such among GIVE_UP_LIKELY likely
+ * ones, and after GIVE_UP_CRASHES of any kind.
  */
 #define DECISIVE_BLAME 600
+#define LIKELY_BLAME 200
 #define GIVE_UP_DECISIVE 2
+#define GIVE_UP_LIKELY 3
 #define GIVE_UP_CRASHES 5
 /*
  * Minions that fail within this time of each other, in ms, fail for a common
@@ -75,6 +79,7 @@
 struct evidence {
 	uint32_t count;
 	uint32_t decisive;
+	uint32_t likely;
 	uint32_t blame;
 };
 
@@ -94,6 +99,7 @@
 			continue;
 		e.count++;
 		e.decisive += crash->begun && crash->blame >= DECISIVE_BLAME;
+		e.likely += crash->begun && crash->blame >= LIKELY_BLAME;
 		e.blame += crash->blame;
 	}
 	return e;
@@ -127,8 +133,11 @@
 
 static bool must_give_up(const struct cell_task *task)
 {
+	struct evidence e = get_evidence(task);
+
 	return task->crash_count >= GIVE_UP_CRASHES ||
-	       get_evidence(task).decisive >= GIVE_UP_DECISIVE;
+	       e.decisive >= GIVE_UP_DECISIVE ||
+	       (e.decisive && e.likely >= GIVE_UP_LIKELY);
 }
 
 static bool crash_known(const struct cell_task *task, uint64_t run)
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -749,3 +749,29 @@
 	buf_free(&batch);
 	buf_free(&known);
 }
+
+/* Guards against a task of a wide step that crashes four minions before it is
+ * known. */
+TEST(Crash, TaskOfAWideStepIsGivenUpAfterThreeCrashes)
+{
+	CrashFixture f(8);
+	Order crashing;
+
+	f.submit(CellFixture::job("j", "q", 4, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 4U);
+	for (int i = 0; i < 3; i++) {
+		ASSERT_EQ(f.state("j"), CELL_JOB_RUNNING);
+		for (size_t k = 0; k < f.starts.size(); k++) {
+			f.confirm(f.starts[k]);
+			if (f.starts[k].task == "j.0.0.0")
+				crashing = f.starts[k];
+		}
+		CrashFixture::crash(f, crashing, 10);
+		f.tick(10);
+		f.durable();
+		f.tick(60);
+	}
+	f.durable();
+	EXPECT_EQ(f.state("j"), CELL_JOB_FAILED);
+}
