Count a crash for giving up only if the minion had confirmed the run

Cause, by reading: a run in isolation counted as begun without the answer of the minion. A test of such a job, on 48 minions, fails without the change.

--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -330,7 +330,7 @@
 				    .age_ms = run_age_ms(run, at_ms),
 				    .blame = blame,
 				    .others = m->run_count - 1,
-				    .begun = run->acked_ms || run->isolated };
+				    .begun = run->acked_ms > 0 };
 
 	memcpy(crash.minion, m->info.id, sizeof(crash.minion));
 	if (!task || task->state == CELL_TASK_DONE ||
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -775,3 +775,21 @@
 	f.durable();
 	EXPECT_EQ(f.state("j"), CELL_JOB_FAILED);
 }
+
+/* Guards against a job given up as a start in isolation was lost on the way. */
+TEST(Crash, IsolatedRunThatWasNotConfirmedDoesNotCount)
+{
+	CrashFixture f(48);
+
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	f.confirm();
+	f.crash(260);
+	f.tick(10);
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.crash(10);
+	f.tick(10);
+	f.durable();
+	EXPECT_EQ(f.state("j"), CELL_JOB_RUNNING);
+	EXPECT_EQ(f.starts.size(), 3U);
+}
