Correct comments and open points found on a second reading

A comment described the load that containment was tried with, and another did not say how a wait is computed.

--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -9,9 +9,6 @@
  * down included. Other queues do not use these, so that crashes hit only runs
  * of the queue itself. The more of its jobs crash, the fewer run side by side
  * on a minion of the set. When such crashes stop, the set is released.
- *
- * It answers a load of 48 short jobs a second on 48 minions, of which 10 to 30%
- * crash a minion that is then away for 3 s, among gangs and longer jobs.
  */
 #include <math.h>
 #include <stdio.h>
@@ -514,9 +511,9 @@
 }
 
 /*
- * Returns how long a new job would wait for its first start, by the rate of
- * late. Late jobs come after it, but only as many are accepted as can be
- * started soon.
+ * Returns how long a new job would wait for its first start, in ms, by the rate
+ * of recent first starts. Late jobs start after it, so they count only once the
+ * backlog exceeds BACKLOG_MAX_MS.
  */
 static uint32_t wait_ms(const struct cell_contained *q)
 {
