Use a lane to the advice service again after it was late

Cause: select_lane() uses no lane whose mean lateness has reached 1.5 s, and the mean changes only with a response. A new holder finds the calls of its predecessor queued at each daemon, so its first responses are late by up to that and a call more; from then on the lane is never asked, also if it is the only one.

Change: the lateness of an idle lane halves every 5 s, so that a lane beside others is tried again; if all lanes that a request may use are late, an idle one is asked at once. The choice among lanes in time is as before.

Ruled out: a daemon that cannot reach the service (its calls were answered), minions without room (they were idle), and the term (it was valid).

--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -22,6 +22,8 @@
 #define ACCEPT_RATE_WINDOW 400
 /* Weight of the latest response in the moving average of the lane latency. */
 #define LATENCY_WEIGHT 0.2
+/* Half-life of the latency of a lane without requests in flight, in ms. */
+#define LATENCY_HALF_LIFE_MS 5000
 /* Requests up to this cost use the reserved lanes, in ms. */
 #define SHORT_COST_MAX_MS 60
 /* Requests from this cost on are excluded from half of the lanes, in ms. */
@@ -346,29 +348,54 @@
 	       rank >= reserved + rest / 3;
 }
 
+/*
+ * Returns the latency to expect of the next request. The measured one is that
+ * of earlier requests, so its weight falls while none is in flight.
+ */
+static double lane_latency_ms(const struct cell_lane *lane, uint64_t now_ms)
+{
+	uint64_t idle_ms = now_ms - lane->measured_ms;
+
+	if (lane->in_flight || now_ms < lane->measured_ms)
+		return lane->latency_ms;
+	return lane->latency_ms * exp2(-(double)idle_ms / LATENCY_HALF_LIFE_MS);
+}
+
 /*
  * Returns the lane with the earliest expected response, or CELL_NONE if all are
- * backlogged. The lanes with the lowest latency serve cheap requests.
+ * backlogged. The lanes with the lowest latency serve cheap requests. If the
+ * latency of all of them has reached the limit, an idle one is used: only a
+ * response can show that it is no longer late.
  */
 static uint32_t select_lane(struct cell *cell, uint32_t cost_ms,
 			    uint64_t now_ms)
 {
 	uint32_t best = CELL_NONE;
-	double best_wait = BACKLOG_MAX_MS;
+	uint32_t late = CELL_NONE;
+	double best_wait = INFINITY;
+	bool all_late = true;
 
 	update_lane_ranks(cell);
 	for (uint32_t i = 0; i < cell->lane_count; i++) {
 		const struct cell_lane *lane = &cell->lanes[i];
-		double wait = (double)lane_backlog_ms(lane, now_ms) +
-			      lane->latency_ms;
+		double latency = lane_latency_ms(lane, now_ms);
+		double backlog = (double)lane_backlog_ms(lane, now_ms);
 
-		if (lane->up && wait < best_wait &&
-		    lane_accepts(lane->rank, cell->lanes_up, cost_ms)) {
+		if (!lane->up ||
+		    !lane_accepts(lane->rank, cell->lanes_up, cost_ms))
+			continue;
+		all_late &= latency >= BACKLOG_MAX_MS;
+		if (backlog + latency < BACKLOG_MAX_MS &&
+		    backlog + lane->latency_ms < best_wait) {
 			best = i;
-			best_wait = wait;
+			best_wait = backlog + lane->latency_ms;
 		}
+		if (!lane->in_flight &&
+		    (late == CELL_NONE ||
+		     lane->latency_ms < cell->lanes[late].latency_ms))
+			late = i;
 	}
-	return best;
+	return all_late ? late : best;
 }
 
 static uint32_t advice_request_new(struct cell *cell)
@@ -507,6 +534,26 @@
 	snprintf(g->ticket, sizeof(g->ticket), "%s", ticket);
 }
 
+/* Updates the latency of a lane by the response to a request, or its lack. */
+static void lane_measure(struct cell *cell, struct cell_lane *lane,
+			 const struct cell_advice_pending *q, uint64_t now_ms)
+{
+	double late_ms = now_ms > q->due_ms ? (double)(now_ms - q->due_ms) : 0;
+	double before_ms = lane->latency_ms;
+
+	lane->latency_ms += LATENCY_WEIGHT * (late_ms - lane->latency_ms);
+	lane->measured_ms = now_ms;
+	if ((before_ms < BACKLOG_MAX_MS) == (lane->latency_ms < BACKLOG_MAX_MS))
+		return;
+	cell_event(cell,
+		   &(struct cell_event){ .what = "lane-latency",
+					 .detail = before_ms < BACKLOG_MAX_MS
+							   ? "late"
+							   : "in time",
+					 .input = (uint64_t)lane->latency_ms,
+					 .value = q->lane });
+}
+
 static void lane_complete(struct cell *cell, struct cell_advice_pending *q,
 			  uint64_t now_ms)
 {
@@ -518,11 +565,7 @@
 	lane = &cell->lanes[q->lane];
 	cell->lanes_ranked = false;
 	if (q->due_ms && now_ms >= q->sent_ms)
-		lane->latency_ms +=
-			LATENCY_WEIGHT *
-			((now_ms > q->due_ms ? (double)(now_ms - q->due_ms)
-					     : 0) -
-			 lane->latency_ms);
+		lane_measure(cell, lane, q, now_ms);
 	if (lane->in_flight)
 		lane->in_flight--;
 	if (!lane->in_flight)
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -234,8 +234,9 @@
 /* A connection to the advice service, by way of one daemon. */
 struct cell_lane {
 	bool up;
-	uint32_t rank;	   /* among the lanes that are up, by latency */
-	double latency_ms; /* response delay beyond the backlog */
+	uint32_t rank;	      /* among the lanes that are up, by latency */
+	double latency_ms;    /* response delay beyond the backlog */
+	uint64_t measured_ms; /* when the latency was last updated */
 	uint64_t backlog_until_ms;
 	uint32_t in_flight;
 };
