Refuse jobs whose advice the remaining lanes cannot fetch

Cause: each daemon makes one call for advice at a time. Seedpress needs about two lanes, one was left, and all jobs were accepted as before.

Change: the holder adds up the requests of the steps that found all lanes busy and have asked for nothing yet, with the steps that wait for these. If the lanes need more than 5 s for a queue and those that are as urgent, or a step of it has waited that long, new jobs of the queue are refused with 429. Cheap urgent requests stay below that, so their queues go on.

Ruled out: a limit on the backlog of a lane of 100 ms in place of 1.5 s, so that urgent requests go first.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -1032,7 +1032,7 @@
 		.queue = s->settings->classes[job->class_index].queue
 	};
 
-	cell_each_overload(s->cell, on_overload, &q);
+	cell_each_overload(s->cell, on_overload, &q, s->now);
 	return cell_job_is_late(&s->config.queues[job->class_index], &spec,
 				q.wait_ms);
 }
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -198,9 +198,7 @@
 void holder_config_changed(struct holder *h);
 void holder_tick(struct holder *h, uint64_t now_ms);
 void holder_poll_jobs_soon(struct holder *h);
-void holder_each_overload(const struct holder *h,
-			  void (*fn)(void *ctx, const char *queue,
-				     uint32_t wait_ms),
+void holder_each_overload(const struct holder *h, cell_overload_fn fn,
 			  void *ctx);
 void holder_gauges(const struct holder *h);
 
--- a/jaycelld/entry.c
+++ b/jaycelld/entry.c
@@ -24,6 +24,8 @@
 #define RETRY_BATCH_S 2
 /* Longest Retry-After of an overloaded queue. */
 #define RETRY_OVERLOAD_MAX_S 10
+/* The same if its wait is not bounded: what waits now has started by then. */
+#define RETRY_UNBOUNDED_S 5
 /* Queues with an objective of at least this are batch queues. */
 #define BATCH_SLO_MS 1000
 #define JSON_TYPE "application/json"
@@ -166,7 +168,9 @@
 		return;
 	}
 	r->retry_s = wait_ms / 1000 + 1;
-	if (r->retry_s > RETRY_OVERLOAD_MAX_S)
+	if (wait_ms == CELL_WAIT_UNBOUNDED)
+		r->retry_s = RETRY_UNBOUNDED_S;
+	else if (r->retry_s > RETRY_OVERLOAD_MAX_S)
 		r->retry_s = RETRY_OVERLOAD_MAX_S;
 	rpc_call(d->rpc, CD_OP_STATE, r->id, NULL,
 		 r->deadline_ms - RESPONSE_MARGIN_MS, on_overload_state, r);
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -272,13 +272,11 @@
 }
 
 /* Calls @fn for each overloaded queue, with the wait for a first start. */
-void holder_each_overload(const struct holder *h,
-			  void (*fn)(void *ctx, const char *queue,
-				     uint32_t wait_ms),
+void holder_each_overload(const struct holder *h, cell_overload_fn fn,
 			  void *ctx)
 {
 	if (h->phase == PHASE_READY)
-		cell_each_overload(h->cell, fn, ctx);
+		cell_each_overload(h->cell, fn, ctx, loop_now_ms());
 }
 
 /* Updates the gauges of the cell. */
--- a/jaycelld/overload.c
+++ b/jaycelld/overload.c
@@ -1,7 +1,7 @@
 /*
- * Overload of contained queues, as the holder reports it to all daemons: how
- * long a new job would wait for its first start. Reports expire, as they are
- * repeated while a queue is contained.
+ * Overloaded queues, as the holder reports them to all daemons: how long a new
+ * job would wait for its first start. Reports expire, as they are repeated
+ * while a queue is overloaded.
  */
 #include <stdio.h>
 #include <string.h>
--- a/lib/cell/advice.c
+++ b/lib/cell/advice.c
@@ -398,6 +398,40 @@
 	return all_late ? late : best;
 }
 
+/* Returns how many lanes take requests of that cost. */
+uint32_t cell_lanes_for(const struct cell *cell, double cost_ms)
+{
+	uint32_t n = 0;
+
+	for (uint32_t rank = 0; rank < cell->lanes_up; rank++)
+		n += lane_accepts(rank, cell->lanes_up, (uint32_t)cost_ms);
+	return n;
+}
+
+/* Returns the cost of a typical request of a queue. */
+double cell_advice_cost_ms(const struct cell_advice_spec *advice)
+{
+	return advice->decide_ms +
+	       advice->per_minion_ms * low_cost_count(advice);
+}
+
+/*
+ * Returns true if the step has found all lanes busy and no request was sent for
+ * it yet.
+ */
+bool cell_step_waits_for_lane(const struct cell_step *step)
+{
+	return step->lanes_busy_ms && !step->advice_requests_sent;
+}
+
+/* Lets the step try again when a lane may be free. */
+static void wait_for_lane(struct cell_step *step, uint64_t now_ms)
+{
+	if (!step->lanes_busy_ms)
+		step->lanes_busy_ms = now_ms;
+	step->advice_after_ms = now_ms + LANE_RETRY_MS;
+}
+
 static uint32_t advice_request_new(struct cell *cell)
 {
 	uint32_t i = 0;
@@ -445,7 +479,7 @@
 		return false;
 	if (select_lane(cell, (uint32_t)queue->advice.decide_ms, now_ms) ==
 	    CELL_NONE) {
-		step->advice_after_ms = now_ms + LANE_RETRY_MS;
+		wait_for_lane(step, now_ms);
 		return false;
 	}
 	cell->pass_requests++;
@@ -455,6 +489,7 @@
 		abort();
 	n = select_minions(cell, step, queue, candidates, now_ms);
 	if (!n) {
+		step->lanes_busy_ms = 0;
 		step->advice_after_ms = now_ms + ADVICE_RETRY_MS;
 		free(candidates);
 		return false;
@@ -463,7 +498,7 @@
 			      queue->advice.per_minion_ms * n);
 	lane = select_lane(cell, cost, now_ms);
 	if (lane == CELL_NONE) {
-		step->advice_after_ms = now_ms + LANE_RETRY_MS;
+		wait_for_lane(step, now_ms);
 		free(candidates);
 		return false;
 	}
@@ -497,6 +532,7 @@
 	cell->lanes[lane].in_flight++;
 	step->advice_in_flight = true;
 	step->advice_requests_sent++;
+	step->lanes_busy_ms = 0;
 	cell->stats.questions++;
 	free(candidates);
 	cell->owner->ops->request_advice(cell->owner, &request);
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -139,6 +139,13 @@
 	void (*event)(struct cell_owner *owner, const struct cell_event *event);
 };
 
+/* An overloaded queue, and the wait of a new job for its first start. */
+typedef void (*cell_overload_fn)(void *ctx, const char *queue,
+				 uint32_t wait_ms);
+
+/* The wait of a queue of which more jobs wait than can be served soon. */
+#define CELL_WAIT_UNBOUNDED UINT32_MAX
+
 /* Base of the owner: embed it as the first member. */
 struct cell_owner {
 	const struct cell_ops *ops;
@@ -283,10 +290,8 @@
 void cell_on_advice(struct cell *cell, uint32_t handle, bool answered,
 		    const struct cell_ticket *tickets, uint32_t count,
 		    uint64_t now_ms);
-void cell_each_overload(const struct cell *cell,
-			void (*fn)(void *ctx, const char *queue,
-				   uint32_t wait_ms),
-			void *ctx);
+void cell_each_overload(const struct cell *cell, cell_overload_fn fn, void *ctx,
+			uint64_t now_ms);
 bool cell_job_is_late(const struct cell_queue_spec *queue,
 		      const struct cell_job_spec *spec, uint32_t wait_ms);
 void cell_on_durable(struct cell *cell, uint64_t seq, uint64_t now_ms);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -72,6 +72,7 @@
 	uint64_t advice_after_ms;
 	uint32_t advice_failures; /* requests without a response in a row */
 	uint32_t advice_requests_sent;
+	uint64_t lanes_busy_ms; /* since when all lanes are busy for it, or 0 */
 	uint32_t grant_count;
 	struct cell_grant *grants;
 	/* By minion: the incarnation that the advice service decided on. */
@@ -461,11 +462,16 @@
 			  uint64_t now_ms);
 uint32_t cell_contain_isolation(const struct cell *cell, const char *queue);
 bool cell_contain_active(const struct cell *cell, const char *queue);
+void cell_contain_each_wait(const struct cell *cell, cell_overload_fn fn,
+			    void *ctx);
 
 /* advice.c */
 bool cell_request_advice(struct cell *cell, struct cell_step *step,
 			 const struct cell_queue_spec *queue, uint64_t now_ms);
 struct cell_grant *cell_grant_find(struct cell_step *step, uint32_t minion);
+bool cell_step_waits_for_lane(const struct cell_step *step);
+double cell_advice_cost_ms(const struct cell_advice_spec *advice);
+uint32_t cell_lanes_for(const struct cell *cell, double cost_ms);
 void cell_advice_free(struct cell *cell);
 
 #endif
--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -531,10 +531,8 @@
  * Calls @fn for each contained queue with the time that a new job would wait
  * for its first start.
  */
-void cell_each_overload(const struct cell *cell,
-			void (*fn)(void *ctx, const char *queue,
-				   uint32_t wait_ms),
-			void *ctx)
+void cell_contain_each_wait(const struct cell *cell, cell_overload_fn fn,
+			    void *ctx)
 {
 	for (uint32_t i = 0; i < cell->contained_count; i++) {
 		const struct cell_contained *q = &cell->contained[i];
@@ -544,17 +542,6 @@
 	}
 }
 
-/* Returns true if a job that waits so long for its first start ends late. */
-bool cell_job_is_late(const struct cell_queue_spec *queue,
-		      const struct cell_job_spec *spec, uint32_t wait_ms)
-{
-	uint64_t path_ms = cell_critical_path_ms(spec);
-	double objective_ms = queue->slo_ms + queue->stretch * (double)path_ms;
-
-	return wait_ms && !spec->repeat_count &&
-	       (double)(wait_ms + path_ms) > objective_ms;
-}
-
 /* Returns true if the queue is contained. */
 bool cell_contain_active(const struct cell *cell, const char *queue)
 {
--- a/tests/advice_test.cc
+++ b/tests/advice_test.cc
@@ -4,6 +4,10 @@
 
 #include "cell_fixture.h"
 
+extern "C" {
+#include "../fakes/cellsim.h"
+}
+
 namespace
 {
 
@@ -43,6 +47,74 @@
 	}
 }
 
+/* Classes of seedpress, of which the requests take two lanes. */
+const struct cellsim_class lane_classes[] = {
+	{ .queue = "recipe",
+	  .priority = 1,
+	  .per_s = 1.7,
+	  .width = 4,
+	  .cpu_milli = 9000,
+	  .mem_mb = 8000,
+	  .work_ms = 2500,
+	  .gang = false,
+	  .max_attempts = 3,
+	  .fail_share = 0,
+	  .slo_ms = 1200,
+	  .stretch = 2.2,
+	  .advice_ms = 450,
+	  .advice_minion_ms = 6.4,
+	  .advice_eligible_share = 0.25 },
+	{ .queue = "layout",
+	  .priority = 2,
+	  .per_s = 6.5,
+	  .width = 4,
+	  .cpu_milli = 2000,
+	  .mem_mb = 2000,
+	  .work_ms = 2000,
+	  .gang = false,
+	  .max_attempts = 4,
+	  .fail_share = 0,
+	  .slo_ms = 3000,
+	  .stretch = 4,
+	  .advice_ms = 72,
+	  .advice_minion_ms = 1,
+	  .advice_eligible_share = 0.45 },
+	{ .queue = "stock",
+	  .priority = 0,
+	  .per_s = 48,
+	  .width = 2,
+	  .cpu_milli = 2000,
+	  .mem_mb = 2000,
+	  .work_ms = 640,
+	  .gang = false,
+	  .max_attempts = 3,
+	  .fail_share = 0,
+	  .slo_ms = 400,
+	  .stretch = 1.5,
+	  .advice_ms = 6.5,
+	  .advice_minion_ms = 0.093,
+	  .advice_eligible_share = 0.7 },
+};
+
+struct cellsim_result play_lanes(uint32_t lanes, uint64_t seed)
+{
+	struct cellsim_settings s = {};
+	struct cellsim_result r;
+
+	s.seed = seed;
+	s.minions = 48;
+	s.cpu_milli = 64000;
+	s.mem_mb = 262144;
+	s.lanes = lanes;
+	s.submit_ms = 40000;
+	/* 14 s until all have started, and the longest of them twice over. */
+	s.run_ms = s.submit_ms + 14000 + 8000;
+	s.class_count = 3;
+	s.classes = lane_classes;
+	cellsim_run(&s, &r);
+	return r;
+}
+
 } // namespace
 
 /*
@@ -100,3 +172,32 @@
 	}
 	EXPECT_TRUE(used);
 }
+
+/*
+ * Guards against accepted jobs that do not start: one lane cannot fetch the
+ * advice that all jobs need, so some are refused, and the others end.
+ */
+TEST(Advice, AcceptedJobsEndWhenOneLaneIsLeft)
+{
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		struct cellsim_result r = play_lanes(1, seed);
+
+		SCOPED_TRACE(seed);
+		EXPECT_EQ(r.unfinished, 0U);
+		EXPECT_GE(r.refused[0] + r.refused[1], 1U);
+		/* Cheap and urgent requests are not the cause. */
+		EXPECT_EQ(r.refused[2], 0U);
+	}
+}
+
+/* Guards against jobs that are refused although the lanes suffice. */
+TEST(Advice, NoJobIsRefusedWhileTheLanesSuffice)
+{
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		struct cellsim_result r = play_lanes(7, seed);
+
+		SCOPED_TRACE(seed);
+		EXPECT_EQ(r.unfinished, 0U);
+		EXPECT_EQ(r.refused[0] + r.refused[1] + r.refused[2], 0U);
+	}
+}
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -515,7 +515,7 @@
 			static_cast<std::vector<std::string> *>(ctx)->push_back(
 				queue);
 		},
-		&contained);
+		&contained, g.now);
 	EXPECT_EQ(contained, std::vector<std::string>{ "q" });
 	CrashFixture::settle(g, 3);
 	ASSERT_EQ(g.starts.size(), 1U);
