Do not take a run as lost while ends are missing from a report

Cause: a minion lists 500 ends at most, and while the store is away none can be acknowledged, so the list does not move. remove_missing_runs() took each run that was neither running nor listed as one that never started, and made its task ready.

The same held on two more paths. An end of a job that is not known yet blocks those behind it, whose runs were removed as well. And a new holder took a minion as settled after one report, or at the end of the leases of the former holder, so that it started the tasks whose ends were still to be listed.

Change: a report says whether there are ends that it does not list. Runs are removed, and a minion of an earlier term is settled, only by a report whose ends are all known. A minion that has answered is no longer settled by time, unless it fails and its lease has ended.

Ruled out: ends that were lost with their minion (no minion was settled) and late starts (each was acknowledged); run-missing was logged for each run that was started again.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -25,6 +25,8 @@
 #define PREDECESSOR_LEASE_MS 7400
 /* From when on a smaller capacity binds: 4 s of contact and one heartbeat. */
 #define SHRINK_GRACE_MS 5000
+/* Ends that a report lists at most, the oldest first. */
+#define ENDS_LISTED_MAX 20
 /*
  * No faults are injected in this last part of the simulation, so that all jobs
  * can finish: queued advice requests of deposed holders may occupy the advice
@@ -927,7 +929,9 @@
 		memcpy(running[i].task, m->runs[i].task, CELL_TASK_MAX);
 		running[i].run = m->runs[i].run;
 	}
-	for (uint32_t i = 0; i < m->end_count; i++) {
+	report.more_ends = m->end_count > ENDS_LISTED_MAX;
+	report.ended_count = report.more_ends ? ENDS_LISTED_MAX : m->end_count;
+	for (uint32_t i = 0; i < report.ended_count; i++) {
 		memcpy(ended[i].task, m->ends[i].task, CELL_TASK_MAX);
 		ended[i].number = m->ends[i].number;
 		ended[i].run = m->ends[i].run;
@@ -936,7 +940,6 @@
 	report.running = running;
 	report.running_count = m->run_count;
 	report.ended = ended;
-	report.ended_count = m->end_count;
 	cell_on_report(s->cell, (uint32_t)e->seq, m->id, &report, e->sent_ms,
 		       s->now);
 	free(running);
--- a/fakes/platform_minion.c
+++ b/fakes/platform_minion.c
@@ -18,6 +18,8 @@
 #include "cell/spec.h"
 #include "platform.h"
 
+/* Ends that a report lists at most, the oldest first. */
+#define ENDS_LISTED_MAX 500
 #define CPU_MILLI 8000
 /* How long a minion is away that a task has crashed, in ms. */
 #define TASK_CRASH_MS 1500
@@ -219,7 +221,7 @@
 				      json_pack("[s,I,s,i]", m->runs[i].task,
 						(json_int_t)m->runs[i].number,
 						"", 50));
-	for (uint32_t i = 0; i < m->end_count; i++)
+	for (uint32_t i = 0; i < m->end_count && i < ENDS_LISTED_MAX; i++)
 		json_array_append_new(
 			ended,
 			json_pack("[I,s,I,s,s]", (json_int_t)m->ends[i].number,
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -199,6 +199,7 @@
 	const struct cell_running *running;
 	uint32_t ended_count;
 	const struct cell_ended *ended;
+	bool more_ends; /* that are not listed */
 };
 
 /* A poll of a minion, which also renews its lease. */
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -472,9 +472,10 @@
 
 /*
  * Handles the new ends in order. The end of a job that is not known yet blocks
- * those after it: once acknowledged, the minion would discard it.
+ * those after it: once acknowledged, the minion would discard it. Returns true
+ * if the ends of all runs that the report does not list as running are known.
  */
-static void handle_ends(struct cell *cell, struct cell_minion *m,
+static bool handle_ends(struct cell *cell, struct cell_minion *m,
 			const struct cell_report *report, uint64_t now_ms)
 {
 	for (uint32_t i = 0; i < report->ended_count; i++) {
@@ -486,11 +487,12 @@
 			if (!m->unknown_job_ms)
 				m->unknown_job_ms = now_ms;
 			if (now_ms < m->unknown_job_ms + UNKNOWN_JOB_TIMEOUT_MS)
-				return;
+				return false;
 		}
 		m->unknown_job_ms = 0;
 		handle_end(cell, m, end, now_ms);
 	}
+	return !report->more_ends;
 }
 
 /*
@@ -593,8 +595,9 @@
 }
 
 /*
- * Removes the runs that are missing from a report, if their last order was
- * acknowledged before the report was requested: they ended or never started.
+ * Removes the runs that are missing from a report whose ends are all known, if
+ * their last order was acknowledged before the report was requested: they never
+ * started.
  */
 static void remove_missing_runs(struct cell *cell, struct cell_minion *m,
 				uint64_t sent_ms, uint64_t now_ms)
@@ -623,20 +626,27 @@
 				uint64_t now_ms)
 {
 	m->contacted = true;
-	if (m->inherited) {
-		m->inherited = false;
-		cell->unsettled--;
-	}
 	minion_enroll(cell, m, now_ms);
 	cell->dirty = true;
 }
 
+/* Handles that all runs and ends of earlier terms on the minion are known. */
+static void set_settled(struct cell *cell, struct cell_minion *m)
+{
+	if (!m->inherited)
+		return;
+	m->inherited = false;
+	cell->unsettled--;
+	cell->dirty = true;
+}
+
 /* Handles the response to a poll that was sent at @sent_ms. */
 void cell_on_report(struct cell *cell, uint32_t minion, const char *id,
 		    const struct cell_report *report, uint64_t sent_ms,
 		    uint64_t now_ms)
 {
 	struct cell_minion *m = minion_get(cell, minion, id);
+	bool complete;
 
 	if (!m)
 		return;
@@ -659,13 +669,16 @@
 	m->anchor_ms = now_ms;
 	for (uint32_t i = 0; i < m->run_count; i++)
 		m->runs[i].in_report = false;
-	handle_ends(cell, m, report, now_ms);
+	complete = handle_ends(cell, m, report, now_ms);
 	for (uint32_t i = 0; i < report->running_count; i++)
 		handle_running(cell, m, &report->running[i], now_ms);
-	remove_missing_runs(cell, m, sent_ms, now_ms);
+	if (complete)
+		remove_missing_runs(cell, m, sent_ms, now_ms);
 	cell_minion_update_pace(cell, m, now_ms);
 	if (!m->contacted)
 		handle_first_report(cell, m, now_ms);
+	if (complete)
+		set_settled(cell, m);
 	m->next_poll_ms = now_ms;
 	if (m->last_end_durable != m->last_end_handled || m->unknown_job_ms)
 		m->next_poll_ms += UNRECORDED_POLL_MS;
@@ -808,7 +821,8 @@
 			cell_minion_clear_runs(cell, m, now_ms);
 		minion_settle(cell, m, "lease ended", now_ms);
 	}
-	if (m->inherited && now_ms >= m->settle_deadline_ms)
+	if (m->inherited && now_ms >= m->settle_deadline_ms &&
+	    (!m->contacted || (m->failing && !leased)))
 		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
 	else if (m->inherited && !m->listed && cell->minions_listed &&
 		 now_ms > cell->first_listed_ms + INHERITED_UNLISTED_MS)
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -212,7 +212,7 @@
 
 	void report(uint32_t handle, const std::string &id,
 		    const std::vector<Row> &rows, const std::vector<End> &ends,
-		    uint64_t sent_ago = 0)
+		    uint64_t sent_ago = 0, bool more_ends = false)
 	{
 		std::vector<struct cell_running> running(rows.size());
 		std::vector<struct cell_ended> ended(ends.size());
@@ -242,6 +242,7 @@
 		r.running = running.data();
 		r.ended_count = static_cast<uint32_t>(ended.size());
 		r.ended = ended.data();
+		r.more_ends = more_ends;
 		cell_on_report(cell, handle, id.c_str(), &r, now - sent_ago,
 			       now);
 	}
