Replay the ends of recurring jobs

Cause: the occurrences of a recurring job are added by cell_tick(), which does nothing until the replay is over. The first tick then added all due occurrences as new.

The same held for a holder whose clock is behind that of its predecessor, also without a replay: an occurrence that is not due yet by its own clock did not exist, so a reported run of it was stopped as unwanted, and its end was acknowledged and forgotten.

It was due by the clock of the holder that started it. A step of an occurrence that is still to come by the own clock is not started. What a minion reports adds none that is due more than a minute later.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -310,7 +310,7 @@
 	uint32_t accept_rate_count;
 	uint64_t next_purge_ms;
 	uint64_t last_pass_ms;
-	uint64_t unix_ms;		  /* of the latest tick */
+	uint64_t unix_ms;		  /* of the latest tick or submission */
 	char load_service[CELL_NAME_MAX]; /* of the cached load */
 	uint64_t load_ms;
 	bool load_high; /* above RESERVE_MIN_LOAD_PERCENT */
@@ -323,6 +323,9 @@
 				 const struct cell_task_name *name);
 struct cell_task *cell_task_find(const struct cell *cell, const char *task,
 				 struct cell_step **step);
+struct cell_task *cell_task_of_run(struct cell *cell, const char *task,
+				   struct cell_step **step, uint64_t now_ms);
+bool cell_step_is_due(const struct cell *cell, const struct cell_step *step);
 const struct cell_step_spec *cell_step_spec_find(const struct cell *cell,
 						 const char *task);
 void cell_step_name(const struct cell_step *step, uint32_t task,
--- a/lib/cell/crash.c
+++ b/lib/cell/crash.c
@@ -189,7 +189,8 @@
 void cell_crash_replay(struct cell *cell, const struct cell_record *record)
 {
 	struct cell_step *step;
-	struct cell_task *task = cell_task_find(cell, record->task, &step);
+	struct cell_task *task =
+		cell_task_of_run(cell, record->task, &step, cell->started_ms);
 	struct cell_crash crash = { .run = record->run,
 				    .age_ms = record->age_ms,
 				    .blame = record->blame,
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -5,6 +5,10 @@
 
 #include "cell/cell_int.h"
 
+/* An occurrence that a minion reports is due that much earlier at most, in ms.
+ */
+#define CLOCK_AHEAD_MAX_MS 60000
+
 static const char *const state_names[CELL_JOB_STATES] = {
 	[CELL_JOB_UNKNOWN] = "unknown", [CELL_JOB_QUEUED] = "queued",
 	[CELL_JOB_RUNNING] = "running", [CELL_JOB_COMPLETED] = "completed",
@@ -264,6 +268,7 @@
 	const struct cell_queue_spec *queue = NULL;
 	struct cell_job *job = cell_job_find(cell, spec->id);
 
+	cell->unix_ms = unix_ms;
 	if (job) {
 		cell_job_spec_free(spec);
 		return false;
@@ -297,6 +302,51 @@
 	return true;
 }
 
+/* Returns when an occurrence of a recurring job is due, in Unix ms. */
+static uint64_t due_unix_ms(const struct cell_job *job, uint32_t occurrence)
+{
+	return job->spec.first_unix_ms +
+	       (uint64_t)occurrence * job->spec.interval_ms;
+}
+
+/* Returns true unless the step is of an occurrence that is still to come. */
+bool cell_step_is_due(const struct cell *cell, const struct cell_step *step)
+{
+	return !step->job->spec.repeat_count ||
+	       cell->unix_ms >= due_unix_ms(step->job, step->occurrence);
+}
+
+/*
+ * Adds the occurrences of a recurring job up to that of the task, of which a
+ * run is known: it was due by the clock of an earlier holder.
+ */
+static void add_known_occurrences(struct cell *cell,
+				  const struct cell_task_name *name,
+				  uint64_t now_ms)
+{
+	struct cell_job *job = cell_job_find(cell, name->job);
+
+	if (!job || name->occurrence >= job->spec.repeat_count ||
+	    (job->state != CELL_JOB_QUEUED && job->state != CELL_JOB_RUNNING))
+		return;
+	if (!cell->replaying && due_unix_ms(job, name->occurrence) >
+					cell->unix_ms + CLOCK_AHEAD_MAX_MS)
+		return;
+	while (job->occurrence_count <= name->occurrence)
+		occurrence_add(cell, job, job->occurrence_count, now_ms);
+}
+
+/* As cell_task_find(), for a task of which a run is known. */
+struct cell_task *cell_task_of_run(struct cell *cell, const char *task,
+				   struct cell_step **step, uint64_t now_ms)
+{
+	struct cell_task_name name;
+
+	if (cell_task_parse(task, &name))
+		add_known_occurrences(cell, &name, now_ms);
+	return cell_task_find(cell, task, step);
+}
+
 /* Adds the occurrences of recurring jobs that are due. */
 void cell_jobs_add_due(struct cell *cell, uint64_t unix_ms, uint64_t now_ms)
 {
@@ -310,9 +360,7 @@
 		if (!job->spec.repeat_count || !job_is_live(job))
 			continue;
 		while (job->occurrence_count < job->spec.repeat_count &&
-		       unix_ms >= job->spec.first_unix_ms +
-					  job->occurrence_count *
-						  job->spec.interval_ms)
+		       unix_ms >= due_unix_ms(job, job->occurrence_count))
 			occurrence_add(cell, job, job->occurrence_count,
 				       now_ms);
 	}
@@ -634,7 +682,8 @@
 		    uint32_t minion, uint64_t now_ms)
 {
 	struct cell_step *step;
-	struct cell_task *task = cell_task_find(cell, end->task, &step);
+	struct cell_task *task =
+		cell_task_of_run(cell, end->task, &step, now_ms);
 
 	if (!task || cell_task_ended(task, end->run))
 		return false;
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -561,7 +561,8 @@
 {
 	struct cell_run *run = cell_run_find(m, row->task, row->run);
 	struct cell_step *step;
-	struct cell_task *task = cell_task_find(cell, row->task, &step);
+	struct cell_task *task =
+		cell_task_of_run(cell, row->task, &step, now_ms);
 
 	if (run && run->job_unknown && cell_step_spec_find(cell, row->task)) {
 		cell_run_remove(cell, m, (uint32_t)(run - m->runs));
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -492,7 +492,7 @@
 		}
 		cell->ready[kept++] = step;
 		entry->queue = cell_queue(cell, step->job->spec.queue);
-		if (!entry->queue)
+		if (!entry->queue || !cell_step_is_due(cell, step))
 			continue;
 		entry->step = step;
 		entry->priority = entry->queue->priority;
