Serve routes whose names are long

The last step of an accepted job never started.

Cause: name, host, prefix and service of a route had 63 bytes, a limit that is the program's own, and one route beyond it made the daemons refuse the whole configuration. They kept the former one, which a restarted daemon does not have, and without a configuration no daemon claims the term. A number of a route above 4,294,967,295 had the same effect.

Change: host and prefix have any length. Other names only have to be told apart: one that does not fit is kept as its beginning and a digest, also in entries of minions, their labels, and steps. Numbers that are too large become the largest. A route that still cannot be decoded is left out, and the event config counts those, so that one route never takes the others away.

Ruled out: the length of the host in requests (httpd has no limit) and the size of the configuration; config-malformed named the route.

--- a/jaycelld/config.c
+++ b/jaycelld/config.c
@@ -81,10 +81,11 @@
 		cell_config_free(&next);
 		return;
 	}
-	ev("config", "version=%llu former=%llu queues=%u revision=%llu",
+	ev("config",
+	   "version=%llu former=%llu queues=%u malformed=%u revision=%llu",
 	   (unsigned long long)next.version,
 	   (unsigned long long)c->current.version, next.queue_count,
-	   (unsigned long long)item->revision);
+	   next.malformed, (unsigned long long)item->revision);
 	cell_config_free(&c->former);
 	c->former = c->current;
 	c->current = next;
--- a/lib/cell/spec.c
+++ b/lib/cell/spec.c
@@ -15,6 +15,10 @@
 /* Frees what @config points to, but not @config itself. */
 void cell_config_free(struct cell_config *config)
 {
+	for (uint32_t i = 0; i < config->queue_count; i++) {
+		free(config->queues[i].host);
+		free(config->queues[i].prefix);
+	}
 	free(config->queues);
 	*config = (struct cell_config){ 0 };
 }
--- a/lib/cell/spec.h
+++ b/lib/cell/spec.h
@@ -68,9 +68,9 @@
 
 struct cell_queue_spec {
 	char name[CELL_NAME_MAX];
-	char host[CELL_NAME_MAX];
-	char prefix[CELL_NAME_MAX]; /* of the request path */
 	char service[CELL_NAME_MAX];
+	char *host;
+	char *prefix;	   /* of the request path */
 	uint32_t priority; /* 0 is the most urgent */
 	uint32_t max_attempts;
 	uint32_t slo_ms;
@@ -83,6 +83,7 @@
 	uint64_t version;
 	uint32_t queue_count;
 	struct cell_queue_spec *queues;
+	uint32_t malformed; /* routes that are left out */
 };
 
 void cell_job_spec_free(struct cell_job_spec *spec);
--- /dev/null
+++ b/tests/decode_test.cc
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "platform/decode.h"
+}
+
+namespace
+{
+
+std::string route(const std::string &name, const std::string &host,
+		  const std::string &prefix, const std::string &service)
+{
+	return R"({"name":")" + name + R"(","host":")" + host +
+	       R"(","prefix":")" + prefix + R"(","service":")" + service +
+	       R"(","max_attempts":3,"slo_ms":400})";
+}
+
+/* A decoded configuration of these routes. */
+struct Config {
+	struct cell_config config = {};
+	struct err err = {};
+	bool ok;
+
+	explicit Config(const std::string &routes)
+	{
+		std::string text = R"({"version":5,"services":[],"routes":[)" +
+				   routes + "]}";
+
+		ok = pf_decode_config(text.data(), text.size(), &config, &err);
+	}
+
+	~Config()
+	{
+		cell_config_free(&config);
+	}
+
+	const struct cell_queue_spec *find(const std::string &host,
+					   const std::string &path)
+	{
+		return cell_config_route(&config, host.c_str(), path.c_str());
+	}
+};
+
+std::string minion_entry(const std::string &address,
+			 const std::string &service = "svc",
+			 const std::string &cpu = "8000",
+			 const std::string &more = "")
+{
+	return R"({"address":")" + address + R"(","service":")" + service +
+	       R"(","state":"ready","zone":"z","born":1700000000000,)" +
+	       R"("capacity":{"cpu":)" + cpu +
+	       R"(,"mem_mb":1000,"gpu":0},"labels":["a","r1"])" + more + "}";
+}
+
+bool decode_minion(const std::string &text, struct cell_minion_info *info)
+{
+	struct err err = {};
+
+	return pf_decode_minion("servers/m1", text.data(), text.size(), info,
+				&err);
+}
+
+} // namespace
+
+/*
+ * Guards against a cell without a configuration: one route whose names are long
+ * made it refuse all of them.
+ */
+TEST(Decode, RouteWithLongNamesIsServed)
+{
+	std::string host = std::string(60, 'h') + "." + std::string(60, 'h') +
+			   "." + std::string(60, 'h') + ".example";
+	std::string prefix = "/" + std::string(200, 'p') + "/";
+	Config c(route("q", "h", "/q/", "s") + "," +
+		 route(std::string(300, 'n'), host, prefix,
+		       std::string(300, 's')));
+
+	ASSERT_TRUE(c.ok);
+	EXPECT_EQ(c.config.queue_count, 2U);
+	EXPECT_EQ(c.config.malformed, 0U);
+	EXPECT_STREQ(c.find("h", "/q/1")->name, "q");
+	ASSERT_NE(c.find(host, prefix + "1"), nullptr);
+	EXPECT_EQ(c.find(host, "/1"), nullptr);
+}
+
+/* Guards against long names that are taken for the same, or never match. */
+TEST(Decode, LongNamesAreToldApart)
+{
+	std::string begin(300, 's');
+	Config c(route("q1", "h", "/1/", begin + "1") + "," +
+		 route("q2", "h", "/2/", begin + "2"));
+	struct cell_minion_info info;
+
+	ASSERT_EQ(c.config.queue_count, 2U);
+	EXPECT_STRNE(c.config.queues[0].service, c.config.queues[1].service);
+	ASSERT_TRUE(
+		decode_minion(minion_entry("10.0.0.1:80", begin + "2"), &info));
+	EXPECT_STREQ(info.service, c.config.queues[1].service);
+}
+
+/* Guards against one route that takes the configuration from the others. */
+TEST(Decode, MalformedRouteIsLeftOut)
+{
+	Config c(route("q", "h", "/q/", "s") +
+		 R"(,{"name":7,"host":"h","prefix":"/x/","service":"s"},3)");
+
+	ASSERT_TRUE(c.ok);
+	EXPECT_EQ(c.config.queue_count, 1U);
+	EXPECT_EQ(c.config.malformed, 2U);
+	EXPECT_NE(c.find("h", "/q/1"), nullptr);
+	EXPECT_EQ(c.find("h", "/x/1"), nullptr);
+}
+
+/* Guards against the same for a number that is too large. */
+TEST(Decode, LargeNumberOfARouteIsCapped)
+{
+	Config c(R"({"name":"q","host":"h","prefix":"/q/","service":"s",)"
+		 R"("slo_ms":5000000000,"timeout_ms":1e12})");
+
+	ASSERT_EQ(c.config.queue_count, 1U);
+	EXPECT_EQ(c.config.queues[0].slo_ms, UINT32_MAX);
+	EXPECT_EQ(c.config.queues[0].timeout_ms, UINT32_MAX);
+}
