--- a/common/ev.c
+++ b/common/ev.c
@@ -47,6 +47,15 @@
 	strftime(ev_stamp, sizeof(ev_stamp), "%Y-%m-%dT%H:%M:%S", &tm);
 }
 
+/* Replaces control characters, so that no value ends a line or begins one. */
+static void mask_controls(char *text, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if ((unsigned char)text[i] < ' ' || text[i] == 0x7f)
+			text[i] = '?';
+	}
+}
+
 /* Buffers one line, with the fields in the order of RFC 3164. */
 void ev(const char *event, const char *fmt, ...)
 {
@@ -74,6 +83,7 @@
 	n += m;
 	if (n > EV_LINE_MAX - 2)
 		n = EV_LINE_MAX - 2;
+	mask_controls(line, (size_t)n);
 	line[n] = '\n';
 	ev_used += (size_t)n + 1;
 }
--- a/fakes/platform_kv.c
+++ b/fakes/platform_kv.c
@@ -205,6 +205,17 @@
 	free(item);
 }
 
+static void put_bytes(struct platform_kv *kv, const char *key,
+		      const void *value, size_t len)
+{
+	char *encoded = pf_base64_encode(value, len);
+
+	kv->revision++;
+	item_put(kv, key, encoded, 0);
+	free(encoded);
+	notify_watches(kv);
+}
+
 /*
  * Writes a key on behalf of the operator or a minion. Takes the reference to
  * @value.
@@ -212,14 +223,10 @@
 void platform_kv_put(struct platform_kv *kv, const char *key, json_t *value)
 {
 	char *text = json_dumps(value, JSON_COMPACT);
-	char *encoded = pf_base64_encode(text, strlen(text));
 
-	kv->revision++;
-	item_put(kv, key, encoded, 0);
-	free(encoded);
+	put_bytes(kv, key, text, strlen(text));
 	free(text);
 	json_decref(value);
-	notify_watches(kv);
 }
 
 /* Removes a key, if it exists. */
@@ -532,20 +539,17 @@
 	timer_start(kv->loop, &kv->tick, LEASE_TICK_MS);
 }
 
-/* Handles an operator's write: PUT /op?key=KEY with the value as the body. */
+/*
+ * Handles a write of the operator or of another writer: PUT /op?key=KEY with
+ * the value, any bytes, as the body.
+ */
 static void handle_operator(struct platform_kv *kv,
 			    const struct fake_request *request)
 {
-	json_t *value =
-		json_loadb(request->http.body, request->http.body_len, 0, NULL);
 	char key[KEY_MAX];
 
 	get_param(request, "key", key);
-	if (!value) {
-		fake_answer_error(kv->fake, request->id, 400, "not JSON");
-		return;
-	}
-	platform_kv_put(kv, key, value);
+	put_bytes(kv, key, request->http.body, request->http.body_len);
 	fake_answer_json(
 		kv->fake, request->id, 200, NULL,
 		json_pack("{s:I}", "revision", (json_int_t)kv->revision));
--- a/tests/decode_test.cc
+++ b/tests/decode_test.cc
@@ -62,6 +62,13 @@
 				&err);
 }
 
+bool is_minion(const std::string &text)
+{
+	struct cell_minion_info info;
+
+	return decode_minion(text, &info);
+}
+
 } // namespace
 
 /*
@@ -123,3 +130,35 @@
 	EXPECT_EQ(c.config.queues[0].slo_ms, UINT32_MAX);
 	EXPECT_EQ(c.config.queues[0].timeout_ms, UINT32_MAX);
 }
+
+/*
+ * Guards against a process that ends, or uses a minion that is none, by an odd
+ * entry of another writer.
+ */
+TEST(Decode, OddEntryNamesNoMinion)
+{
+	const size_t depth = 100000;
+	std::string nested =
+		",\"x\":" + std::string(depth, '[') + std::string(depth, ']');
+
+	EXPECT_TRUE(is_minion(minion_entry("10.0.0.1:80")));
+	EXPECT_FALSE(
+		is_minion(minion_entry("10.0.0.1:80", "svc", "8000", nested)));
+	EXPECT_FALSE(is_minion(std::string(depth, '{')));
+	for (const char *cpu :
+	     { "1e999", "1e20", "18446744073709551616", "4294967296", "-1",
+	       "\"8000\"", "null", "99999999999999999999999999" })
+		EXPECT_FALSE(is_minion(minion_entry("10.0.0.1:80", "svc", cpu)))
+			<< cpu;
+	for (const char *born :
+	     { "1e999", "-1", "1.5", "\"1\"", "99999999999999999999999999" })
+		EXPECT_FALSE(is_minion(
+			minion_entry("10.0.0.1:80", "svc", "8000",
+				     std::string(",\"born\":") + born)))
+			<< born;
+	for (const char *address :
+	     { "10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:0",
+	       "10.0.0.1:-1", "10.0.0.1:", "10.0.0.1", ":80", "", "host:80",
+	       "10.0.0.1:80x", "10.0.0.256:80" })
+		EXPECT_FALSE(is_minion(minion_entry(address))) << address;
+}
