Do not refuse jobs for the backlog of lanes after a takeover

Cause: a new holder has asked for no step yet, so all that wait count as waiting for a lane, and the sum of their requests passes 5 s at once. Most of them wait for room; their requests are asked for in turn within seconds.

Change: a queue is overloaded only if one of its steps has also found all lanes busy for as long, which is measured and not predicted.

Ruled out: slower lanes.

--- a/lib/cell/overload.c
+++ b/lib/cell/overload.c
@@ -8,9 +8,10 @@
 #include "cell/cell_int.h"
 
 /*
- * A queue takes no new jobs while the lanes need longer than this for the steps
- * that wait for them, in ms. Those of less urgent queues would wait for as long
- * as jobs of the others keep coming.
+ * A queue takes no new jobs while one of its steps has waited longer than this
+ * for a lane, and the lanes need longer than this for all that wait, in ms.
+ * Steps of less urgent queues would wait for as long as jobs of the others keep
+ * coming.
  */
 #define LANE_WAIT_MAX_MS 5000
 
@@ -74,20 +75,22 @@
 
 /*
  * Returns true if a new job of the queue of @wait would wait too long for a
- * lane: for the steps of more urgent queues and of its own, and at least for as
- * long as the first of these does already.
+ * lane: for the steps of more urgent queues and of its own, of which the first
+ * has waited as long already. A new holder, which asks for all steps again, is
+ * not overloaded by that alone.
  */
 static bool lanes_overloaded(const struct lane_wait *waits, uint32_t count,
 			     const struct lane_wait *wait, uint64_t now_ms)
 {
 	double ms = 0;
 
+	if (now_ms <= wait->oldest_ms + LANE_WAIT_MAX_MS)
+		return false;
 	for (uint32_t i = 0; i < count; i++) {
 		if (waits[i].queue->priority <= wait->queue->priority)
 			ms += waits[i].cost_ms;
 	}
-	return ms > LANE_WAIT_MAX_MS ||
-	       now_ms > wait->oldest_ms + LANE_WAIT_MAX_MS;
+	return ms > LANE_WAIT_MAX_MS;
 }
 
 /*
--- a/tests/advice_test.cc
+++ b/tests/advice_test.cc
@@ -190,6 +190,32 @@
 	}
 }
 
+/*
+ * Guards against jobs that are refused after each takeover: a new holder asks
+ * for all steps again, most of which wait for room and not for a lane.
+ */
+TEST(Advice, SuccessorDoesNotRefuseJobsAtOnce)
+{
+	CellFixture f;
+	int overloaded = 0;
+
+	advised_queue(f);
+	for (int i = 0; i < 50; i++)
+		f.submit(CellFixture::job("j" + std::to_string(i), "q", 1, 10),
+			 false);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 64000);
+	for (int i = 0; i < 100; i++)
+		f.tick(20);
+	cell_each_overload(
+		f.cell,
+		[](void *ctx, const char *, uint32_t) {
+			++*static_cast<int *>(ctx);
+		},
+		&overloaded, f.now);
+	EXPECT_EQ(overloaded, 0);
+}
+
 /* Guards against jobs that are refused although the lanes suffice. */
 TEST(Advice, NoJobIsRefusedWhileTheLanesSuffice)
 {
