Count jobs that wait for another start when a contained queue is full

Cause: new jobs were refused by the wait for a first start only.

Change, in lib/cell/contain.c: - a contained queue takes no new job while more than two jobs for each minion of its set wait for another start, and more than it starts in 2 s; - suspects get all minions of the set but one for each job that waits for its first start, in place of a quarter while there is any such job; - the set takes half of the idle minions, in place of nearly all, while a step of another queue has waited for 3 s.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -196,6 +196,7 @@
 	uint32_t grown;	       /* size of its set by its crashes, 0: not set */
 	uint64_t grown_ms;     /* latest change of that */
 	uint32_t free_minions; /* that run no work of other queues */
+	uint64_t others_ms;    /* when work of other queues last waited long */
 	uint64_t counted_cpu_ms; /* when that is counted again */
 	uint32_t size;		 /* of its set, with minions that are down */
 	uint32_t room;		 /* jobs that may be placed in this pass */
@@ -203,7 +204,9 @@
 	uint32_t waiting;	 /* jobs without a start, in the latest pass */
 	uint64_t in_time_ms;	 /* when there was one in time */
 	uint32_t in_time;	 /* those that can still meet their objective */
+	uint32_t retrying;	 /* jobs that wait for another start */
 	double starts;		 /* of jobs, of late, decaying */
+	double restarts;	 /* further ones of these */
 	double crashes;		 /* by them */
 	uint64_t counted_ms;
 };
@@ -460,8 +463,9 @@
 bool cell_contain_full(const struct cell *cell, const struct cell_minion *m,
 		       const struct cell_job *job);
 void cell_contain_start(struct cell *cell, const struct cell_job *job,
-			uint64_t now_ms);
-void cell_contain_waiting(struct cell *cell, const char *queue, bool late,
+			bool first, uint64_t now_ms);
+void cell_contain_waiting(struct cell *cell, const struct cell_step *step,
+			  const struct cell_queue_spec *queue, bool late,
 			  uint64_t now_ms);
 uint32_t cell_contain_isolation(const struct cell *cell, const char *queue);
 bool cell_contain_active(const struct cell *cell, const char *queue);
--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -22,9 +22,11 @@
 #define TRIGGER_MINIONS_MIN 2
 /*
  * Its set is one minion in SET_SHARE, or all but so many of those that run no
- * work of other queues, if that is more.
+ * work of other queues, if that is more. Only half of these are taken while a
+ * step of another queue has waited for OTHERS_WAIT_MS.
  */
 #define SET_SHARE 4
+#define OTHERS_WAIT_MS 3000
 /*
  * The set is released after this time without a crash, in ms, once no job waits
  * for its first start.
@@ -40,10 +42,17 @@
 #define IN_TIME_RECENT_MS 1000
 /* Jobs of the queue that run side by side on a minion of the set, at most. */
 #define JOBS_PER_MINION_MAX 1000
-/* While jobs wait for a first start, suspects get one minion in this many. */
+/* Suspects get one minion of the set in this many at least. */
 #define SUSPECTS_SHARE 4
 /* A contained queue takes new jobs while its backlog is shorter, in ms. */
 #define BACKLOG_MAX_MS 20000
+/*
+ * It takes none while more jobs wait for another start after a crash than it
+ * starts within this time, in ms, and than so many for each minion of its set:
+ * they need as much room as new ones, and more of them crash their minion.
+ */
+#define RETRY_BACKLOG_MAX_MS 2000
+#define RETRIES_PER_MINION 2
 /*
  * Interval at which the work of other queues on all minions is counted, in ms:
  * it looks up the job of each run.
@@ -88,6 +97,7 @@
 		exp(-(double)(now_ms - q->counted_ms) / SHARE_WINDOW_MS);
 
 	q->starts *= factor;
+	q->restarts *= factor;
 	q->crashes *= factor;
 	q->counted_ms = now_ms;
 }
@@ -218,6 +228,7 @@
 		q->grown = 0;
 		q->counted_cpu_ms = 0;
 		q->starts /= SET_SHARE;
+		q->restarts /= SET_SHARE;
 		q->crashes /= SET_SHARE;
 	}
 	for (uint32_t i = 0; i < cell->minion_count && !active; i++) {
@@ -343,6 +354,7 @@
 		   uint64_t now_ms)
 {
 	uint32_t base = at_least(total / SET_SHARE, 1);
+	uint32_t free = 0;
 
 	if (down * 2 > q->grown || q->grown < base) {
 		q->grown = base;
@@ -353,8 +365,12 @@
 		q->grown_ms = now_ms;
 	}
 	q->size = q->grown;
-	if (q->free_minions > base + q->size)
-		q->size = q->free_minions - base;
+	if (now_ms <= q->others_ms + OTHERS_WAIT_MS)
+		free = q->free_minions / 2;
+	else if (q->free_minions > base)
+		free = q->free_minions - base;
+	if (free > q->size)
+		q->size = free;
 }
 
 /* Contains and releases queues by the minions that are down under them. */
@@ -389,6 +405,7 @@
 			continue;
 		decay(q, now_ms);
 		q->waiting = 0;
+		q->retrying = 0;
 		q->in_time = 0;
 		count_work(cell, q, now_ms);
 		resize(q, total, down, now_ms);
@@ -439,16 +456,22 @@
 	return count_other_jobs(m, job->spec.id) >= jobs_limit(q);
 }
 
-/* Counts the first start of a job of a queue that has crashed minions. */
+/*
+ * Counts a start of a job of a queue that has crashed minions: the first, or
+ * another one once nothing of its step runs.
+ */
 void cell_contain_start(struct cell *cell, const struct cell_job *job,
-			uint64_t now_ms)
+			bool first, uint64_t now_ms)
 {
 	struct cell_contained *q = contained_find(cell, job->spec.queue);
 
 	if (!q)
 		return;
 	decay(q, now_ms);
-	q->starts++;
+	if (first)
+		q->starts++;
+	else
+		q->restarts++;
 }
 
 /* Replays that a queue was contained or released. */
@@ -482,14 +505,38 @@
 	}
 }
 
-/* Counts a job of the queue that waits for its first start in this pass. */
-void cell_contain_waiting(struct cell *cell, const char *queue, bool late,
+/*
+ * Notes that a step has waited long for minions that the sets of other queues
+ * may have taken.
+ */
+static void note_long_wait(struct cell *cell, const struct cell_step *step,
+			   const struct cell_queue_spec *queue, uint64_t now_ms)
+{
+	if (step->tasks_active || now_ms < step->unblocked_ms + OTHERS_WAIT_MS)
+		return;
+	for (uint32_t i = 0; i < cell->contained_count; i++) {
+		struct cell_contained *q = &cell->contained[i];
+
+		if (!strcmp(q->service, queue->service))
+			q->others_ms = now_ms;
+	}
+}
+
+/* Counts a step of @queue that waits for a start in this pass. */
+void cell_contain_waiting(struct cell *cell, const struct cell_step *step,
+			  const struct cell_queue_spec *queue, bool late,
 			  uint64_t now_ms)
 {
-	struct cell_contained *q = contained_find(cell, queue);
+	struct cell_contained *q = contained_find(cell, queue->name);
 
-	if (!q)
+	if (!q || !q->active) {
+		note_long_wait(cell, step, queue, now_ms);
+		return;
+	}
+	if (step->job->state != CELL_JOB_QUEUED) {
+		q->retrying += !step->tasks_active;
 		return;
+	}
 	q->waiting++;
 	if (late)
 		return;
@@ -499,27 +546,35 @@
 
 /*
  * Returns how many minions of its set a contained queue leaves to suspects: all
- * if no job waits for its first start. Returns 0 if the queue is not contained.
+ * but one for each job that waits for its first start, and a share at least.
+ * Returns 0 if the queue is not contained.
  */
 uint32_t cell_contain_isolation(const struct cell *cell, const char *queue)
 {
 	const struct cell_contained *q = contained_find(cell, queue);
+	uint32_t rest;
 
 	if (!q || !q->active)
 		return 0;
-	return at_least(q->waiting ? q->size / SUSPECTS_SHARE : q->size, 1);
+	rest = q->size > q->waiting ? q->size - q->waiting : 0;
+	return at_least(at_least(rest, q->size / SUSPECTS_SHARE), 1);
 }
 
 /*
  * Returns how long a new job would wait for its first start, in ms, by the rate
  * of recent first starts. Late jobs start after it, so they count only once the
- * backlog exceeds BACKLOG_MAX_MS.
+ * backlog exceeds BACKLOG_MAX_MS. No job is taken while too many that had a
+ * start wait for another.
  */
 static uint32_t wait_ms(const struct cell_contained *q)
 {
 	double per_ms = (q->starts + 1) / SHARE_WINDOW_MS;
+	double retry_per_ms = (q->starts + q->restarts + 1) / SHARE_WINDOW_MS;
 	double all_ms = q->waiting / per_ms;
 
+	if (q->retrying > RETRIES_PER_MINION * q->size &&
+	    q->retrying / retry_per_ms > RETRY_BACKLOG_MAX_MS)
+		return CELL_WAIT_UNBOUNDED;
 	/* Room that is left would take a new job at once. */
 	if (q->room)
 		return 0;
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -203,10 +203,11 @@
 	task->progress_ms = now_ms;
 	task->percent = 0;
 	step->tasks_active++;
-	if (job->state == CELL_JOB_QUEUED) {
+	if (step->tasks_active == 1)
+		cell_contain_start(cell, job, job->state == CELL_JOB_QUEUED,
+				   now_ms);
+	if (job->state == CELL_JOB_QUEUED)
 		job->state = CELL_JOB_RUNNING;
-		cell_contain_start(cell, job, now_ms);
-	}
 	placed = cell_run_add(m, start.task, run, step->spec, &held, now_ms);
 	placed->late = cell->unix_ms > job->deadline_unix_ms &&
 		       cell_contain_active(cell, job->spec.queue);
@@ -507,11 +508,9 @@
 	cell->ready_count = kept;
 	qsort(entries, n, sizeof(*entries), compare_urgency);
 	cell_contain_update(cell, now_ms);
-	for (uint32_t i = 0; i < n && cell->contained_active; i++) {
-		if (entries[i].step->job->state == CELL_JOB_QUEUED)
-			cell_contain_waiting(cell, entries[i].queue->name,
-					     entries[i].late, now_ms);
-	}
+	for (uint32_t i = 0; i < n && cell->contained_active; i++)
+		cell_contain_waiting(cell, entries[i].step, entries[i].queue,
+				     entries[i].late, now_ms);
 	if (suspects)
 		schedule_suspects(cell, entries, n, candidates, now_ms);
 	for (uint32_t i = 0; i < n; i++)
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -301,6 +301,28 @@
 	}
 }
 
+/*
+ * Guards against accepted jobs that do not run: those that lost a run with its
+ * minion wait for another start, and more are accepted meanwhile.
+ */
+TEST(Crash, AcceptedJobsOfAContainedQueueEnd)
+{
+	for (uint64_t seed = 1; seed <= 6; seed++) {
+		struct day d = crashing_day(seed, CARD, 0.1, 10);
+		struct cellsim_result r;
+
+		d.settings.submit_ms = 34000;
+		d.settings.crash_from_ms = 4000;
+		d.settings.crash_until_ms = 34000;
+		/* All run 14 s after the last submission, and 3 s later at
+		 * most. */
+		d.settings.run_ms = d.settings.submit_ms + 14000 + 3000;
+		r = play(d);
+		SCOPED_TRACE(seed);
+		EXPECT_EQ(r.unfinished, 0U);
+	}
+}
+
 /* Guards against a queue that is served no more once some of its jobs crash. */
 TEST(Crash, QueueOfRareCrashingTasksIsStillServed)
 {
