Do not settle an unlisted minion that still lists its ends

A minion of an earlier term that is not listed 2.5 s after the first list was settled, also if it responds and has more ends to list than fit into a report. Its done tasks would be started again.

Change: both limits in time, of leases and of the list, hold only for a minion that does not respond.

Test: Report.SuccessorWaitsForTheEndsOfAMinionThatIsNotListed fails without the change.

--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -809,6 +809,20 @@
 	}
 }
 
+/*
+ * Settles a minion of an earlier term that does not respond, once the leases of
+ * that term have ended or the platform no longer lists it.
+ */
+static void settle_inherited(struct cell *cell, struct cell_minion *m,
+			     uint64_t now_ms)
+{
+	if (now_ms >= m->settle_deadline_ms)
+		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
+	else if (!m->listed && cell->minions_listed &&
+		 now_ms > cell->first_listed_ms + INHERITED_UNLISTED_MS)
+		minion_settle(cell, m, "not listed", now_ms);
+}
+
 static void tick_minion(struct cell *cell, struct cell_minion *m,
 			uint64_t now_ms)
 {
@@ -822,12 +836,8 @@
 			cell_minion_clear_runs(cell, m, now_ms);
 		minion_settle(cell, m, "lease ended", now_ms);
 	}
-	if (m->inherited && now_ms >= m->settle_deadline_ms &&
-	    (!m->contacted || (m->failing && !leased)))
-		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
-	else if (m->inherited && !m->listed && cell->minions_listed &&
-		 now_ms > cell->first_listed_ms + INHERITED_UNLISTED_MS)
-		minion_settle(cell, m, "not listed", now_ms);
+	if (m->inherited && (!m->contacted || (m->failing && !leased)))
+		settle_inherited(cell, m, now_ms);
 	if (!m->listed && cell->minions_listed && !m->run_count &&
 	    !m->inherited && now_ms > m->unlisted_ms + UNLISTED_TIMEOUT_MS) {
 		if (m->enrolled)
--- a/tests/report_test.cc
+++ b/tests/report_test.cc
@@ -156,6 +156,28 @@
 	EXPECT_EQ(cell_get_job_state(f.cell, "j"), CELL_JOB_COMPLETED);
 }
 
+/* Guards against the same if the entry of the minion has lapsed meanwhile. */
+TEST(Report, SuccessorWaitsForTheEndsOfAMinionThatIsNotListed)
+{
+	InheritedJob f;
+	std::vector<End> first = { { 1, "j.0.0.0", 11, CELL_END_DONE, "" } };
+
+	cell_set_minions(f.cell, nullptr, 0, f.now);
+	f.report(0, "m0", {}, first, 0, true);
+	for (int ms = 0; ms < 6000; ms += 300) {
+		f.tick(300);
+		f.report(0, "m0", {}, first, 0, true);
+	}
+	f.durable();
+	f.report(0, "m0", {}, { { 2, "j.0.0.1", 12, CELL_END_DONE, "" } });
+	f.list(1, 8000);
+	f.tick(100);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 0U);
+	EXPECT_EQ(cell_get_job_state(f.cell, "j"), CELL_JOB_COMPLETED);
+}
+
 /* Guards against a job that waits for ever for ends of a minion that failed. */
 TEST(Report, SuccessorDoesNotWaitForAMinionThatFails)
 {
