--- a/lib/cell/contain.c
+++ b/lib/cell/contain.c
@@ -47,9 +47,9 @@
 /* A contained queue takes new jobs while its backlog is shorter, in ms. */
 #define BACKLOG_MAX_MS 20000
 /*
- * It takes none while more jobs wait for another start after a crash than it
- * starts within this time, in ms, and than so many for each minion of its set:
- * they need as much room as new ones, and more of them crash their minion.
+ * It takes none while more of its jobs wait for another start after a crash
+ * than start within this time, in ms, and than so many for each minion of its
+ * set: they need as much room as new ones, and more of them crash their minion.
  */
 #define RETRY_BACKLOG_MAX_MS 2000
 #define RETRIES_PER_MINION 2
