Leave odd items out of the list of instances

Change: an item that is malformed is left out, with a line in the log, and the others hold. The port has to be from 1 to 65535. A list of which no item can be read is refused as before, so that a change of its form does not take all instances away.

--- a/instlist/instlist.c
+++ b/instlist/instlist.c
@@ -92,6 +92,8 @@
 		instlist_fail(il, err.text);
 		return;
 	}
+	if (err.text[0])
+		log_warn("item left out: %s", err.text);
 	/* Ignore an ETag that fills its buffer: it may be truncated. */
 	il->etag[0] = '\0';
 	if (strlen(response->etag) < sizeof(il->etag) - 1)
--- a/instlist/parse.c
+++ b/instlist/parse.c
@@ -5,6 +5,8 @@
 
 #include <jansson.h>
 
+#include "addr.h"
+
 static const char *const kind_names[] = {
 	[INST_WORKER] = "worker",
 	[INST_MINION] = "minion",
@@ -69,6 +71,8 @@
 static const char *read_instance(const json_t *object, const char *az,
 				 struct instance *inst)
 {
+	struct sockaddr_in sin;
+
 	if (!json_is_object(object) ||
 	    !read_string(object, "id", true, inst->id, sizeof(inst->id)))
 		return "id";
@@ -80,7 +84,7 @@
 		return "az";
 	if (!read_string(object, "addr", true, inst->addr,
 			 sizeof(inst->addr)) ||
-	    !strchr(inst->addr, ':'))
+	    !addr_parse(inst->addr, &sin) || !sin.sin_port)
 		return "addr";
 	if (!read_state(object, &inst->leaving))
 		return "state";
@@ -123,8 +127,10 @@
 
 /*
  * Returns the instances of zone @az sorted by id, with one reference, or NULL
- * with @err set if any part of the list is malformed. Unknown members are
- * ignored, because the platform may add some.
+ * with @err set if it is no list, no item of it can be read, or an id stands in
+ * it twice. An item that is malformed, as another writer may leave one, is left
+ * out; @err names the last of them. Unknown members are ignored, because the
+ * platform may add some.
  */
 struct inst_list *instlist_parse(const char *json, size_t len, const char *az,
 				 struct err *err)
@@ -144,17 +150,21 @@
 	list = xcalloc(1, sizeof(*list) + count * sizeof(list->items[0]));
 	list->shared.refs = 1;
 	for (size_t i = 0; i < count; i++) {
-		struct instance *inst = &list->items[list->count++];
+		struct instance *inst = &list->items[list->count];
 		const char *bad =
 			read_instance(json_array_get(root, i), az, inst);
 
-		if (bad) {
-			err_set(err, ERR_BAD_REQUEST,
-				"instance list: item %zu (%.40s): invalid %s",
-				i, inst->id, bad);
-			goto out;
+		if (!bad) {
+			list->count++;
+			continue;
 		}
+		err_set(err, ERR_BAD_REQUEST,
+			"instance list: item %zu (%.40s): invalid %s", i,
+			inst->id, bad);
+		*inst = (struct instance){ 0 };
 	}
+	if (count && !list->count)
+		goto out;
 	qsort(list->items, list->count, sizeof(list->items[0]), compare_ids);
 	ok = check_unique(list, err);
 out:
