--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -48,6 +48,17 @@
 	std::string saved;
 };
 
+/* The journal record of a minion that may have runs of an earlier term. */
+inline struct cell_record enrolled_record(const char *id)
+{
+	struct cell_record record = {};
+
+	record.kind = CELL_RECORD_ENROLLED;
+	record.minion = id;
+	record.addr = "10.0.0.1:80";
+	return record;
+}
+
 struct CellFixture {
 	struct cell_owner owner = {}; /* first member */
 	struct cell *cell = nullptr;
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -191,21 +191,6 @@
 	EXPECT_EQ(f.starts.size(), 1U);
 }
 
-namespace
-{
-
-struct cell_record enrolled_record(const char *id)
-{
-	struct cell_record record = {};
-
-	record.kind = CELL_RECORD_ENROLLED;
-	record.minion = id;
-	record.addr = "10.0.0.1:80";
-	return record;
-}
-
-} // namespace
-
 /*
  * Guards against losing failed attempts after a takeover: minions report in any
  * order, so the end of a later run may come first.
--- a/tests/recurring_test.cc
+++ b/tests/recurring_test.cc
@@ -36,15 +36,12 @@
 struct Successor : CellFixture {
 	explicit Successor(uint64_t behind_ms = 0) : CellFixture(9)
 	{
-		struct cell_record enrolled = {};
+		struct cell_record enrolled = enrolled_record("m0");
 		struct cell_record first = end_record("j.0.0.0", 11);
 		struct cell_record second = end_record("j.1.0.0", 12);
 
 		queue("q", 0, 2);
 		submit(recurring_job(*this), false);
-		enrolled.kind = CELL_RECORD_ENROLLED;
-		enrolled.minion = "m0";
-		enrolled.addr = "10.0.0.1:80";
 		cell_replay(cell, &enrolled);
 		cell_replay(cell, &first);
 		cell_replay(cell, &second);
--- a/tests/report_test.cc
+++ b/tests/report_test.cc
@@ -11,16 +11,6 @@
 namespace
 {
 
-struct cell_record enrolled_record(const char *id)
-{
-	struct cell_record record = {};
-
-	record.kind = CELL_RECORD_ENROLLED;
-	record.minion = id;
-	record.addr = "10.0.0.1:80";
-	return record;
-}
-
 /* A cell with one minion that runs both tasks of the job "j". */
 struct RunningJob : CellFixture {
 	RunningJob()
