Log what a holder knew when it settles a minion or adopts runs

Callers saw tasks run twice after changes of the holder. The logs do not tell the hypotheses of the incident apart: not whether a minion that was given up had responded and how much of a lease could be left, not which runs a minion listed, not why a listed run was stopped, and not when and by which evidence a term counted as valid.

minion-settled has the age of the latest report, the runs and the time that leases may go on; minion-contacted is the first report of a minion; run-unwanted has a reason; term-validity is logged on each change. The gauge jaycelld_duplicate_runs counts runs that are found beside another one.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -164,6 +164,7 @@
 void terms_on_confirmed(struct terms *terms, uint64_t sent_ms);
 void terms_release(struct terms *terms);
 bool terms_valid(const struct terms *terms, uint64_t now_ms);
+bool terms_check(struct terms *terms, uint64_t now_ms);
 uint64_t terms_token(const struct terms *terms);
 uint64_t terms_latest(const struct terms *terms);
 
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -306,6 +306,9 @@
 	ctr_set(ctr_gauge("jaycelld_runs_lost",
 			  "Runs that this term lost with their minion."),
 		stats.runs_lost);
+	ctr_set(ctr_gauge("jaycelld_duplicate_runs",
+			  "Runs found beside another run of their task."),
+		stats.duplicate_runs);
 	ctr_set(ctr_gauge("jaycelld_used_cpu_milli",
 			  "Thousandths of cores that runs hold."),
 		stats.used_cpu_milli);
@@ -322,7 +325,7 @@
 	listing_tick(h->listing, now_ms);
 	if (!h->jobs_polling && now_ms >= h->jobs_poll_ms)
 		poll_jobs(h, now_ms);
-	cell_set_term_valid(h->cell, terms_valid(h->d->terms, now_ms));
+	cell_set_term_valid(h->cell, terms_check(h->d->terms, now_ms));
 	cell_tick(h->cell, cd_unix_ms(), now_ms);
 	journal_tick(h, now_ms);
 	gc_tick(h->gc, now_ms);
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -58,6 +58,7 @@
 	uint64_t claim_due_ms; /* 0: none is due */
 	uint64_t claim_sent_ms;
 	uint64_t token; /* of this daemon's term, 0: not the holder */
+	bool valid;	/* as last logged */
 	uint64_t confirmed_ms;
 	uint64_t confirm_sent_ms;
 	bool confirming;
@@ -124,16 +125,15 @@
 	return ok && now < ok + STORE_OK_MS;
 }
 
-/* Returns true if this daemon may send commands to minions now. */
-bool terms_valid(const struct terms *t, uint64_t now_ms)
+/* Collects the evidence that the term of this daemon is valid. */
+static struct term_validity collect_proof(const struct terms *t,
+					  uint64_t now_ms)
 {
 	struct term_validity proof = { .now_ms = now_ms,
 				       .confirmed_ms = t->confirmed_ms,
 				       .store_ok = store_healthy(t, now_ms) };
 	uint64_t confirmed_ms = 0;
 
-	if (!t->token)
-		return false;
 	if (links_confirm_term(t->d->links, t->token, now_ms, &confirmed_ms) &&
 	    confirmed_ms > proof.confirmed_ms)
 		proof.confirmed_ms = confirmed_ms;
@@ -141,9 +141,42 @@
 	proof.followers_without_store =
 		links_followers_cut_off(t->d->links, now_ms);
 	proof.missing = links_lost_followers(t->d->links, now_ms);
+	return proof;
+}
+
+/* Returns true if this daemon may send commands to minions now. */
+bool terms_valid(const struct terms *t, uint64_t now_ms)
+{
+	struct term_validity proof;
+
+	if (!t->token)
+		return false;
+	proof = collect_proof(t, now_ms);
 	return term_valid(&proof);
 }
 
+/* As terms_valid(); logs each change, with the evidence. */
+bool terms_check(struct terms *t, uint64_t now_ms)
+{
+	struct term_validity proof;
+	bool valid;
+
+	if (!t->token)
+		return false;
+	proof = collect_proof(t, now_ms);
+	valid = term_valid(&proof);
+	if (valid != t->valid)
+		ev("term-validity",
+		   "token=%llu valid=%d confirmed_age_ms=%llu store_ok=%d "
+		   "followers=%u without_store=%d missing=%u",
+		   (unsigned long long)t->token, valid,
+		   (unsigned long long)(now_ms - proof.confirmed_ms),
+		   proof.store_ok, proof.followers,
+		   proof.followers_without_store, proof.missing);
+	t->valid = valid;
+	return valid;
+}
+
 static void parse_holder(struct terms *t, const struct pf_item *item)
 {
 	char copy[VALUE_MAX];
@@ -166,6 +199,7 @@
 static void start_term(struct terms *t, uint64_t token, uint64_t sent_ms)
 {
 	t->token = token;
+	t->valid = false;
 	t->confirmed_ms = sent_ms;
 	t->lease_id = 0;
 	t->renew_ms = 0;
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -287,6 +287,32 @@
 	}
 }
 
+/* Returns the ms until all leases of this and earlier terms have ended. */
+static uint64_t lease_left_ms(const struct cell *cell,
+			      const struct cell_minion *m, uint64_t now_ms)
+{
+	uint64_t until = cell->started_ms + cell->settings.predecessor_lease_ms;
+
+	if (m->lease_until_ms > until)
+		until = m->lease_until_ms;
+	return until > now_ms ? until - now_ms : 0;
+}
+
+/* Logs why a minion is settled, and what was known of it. */
+static void log_settled(struct cell *cell, const struct cell_minion *m,
+			const char *why, uint64_t now_ms)
+{
+	cell_event(cell,
+		   &(struct cell_event){
+			   .what = "minion-settled",
+			   .minion = m->info.id,
+			   .detail = why,
+			   .age_ms = now_ms - (m->alive_ms ? m->alive_ms
+							   : cell->started_ms),
+			   .input = lease_left_ms(cell, m, now_ms),
+			   .value = m->run_count });
+}
+
 /*
  * Settles a minion: nothing runs on it, and no start that was sent earlier can
  * take effect there.
@@ -294,6 +320,7 @@
 static void minion_settle(struct cell *cell, struct cell_minion *m,
 			  const char *why, uint64_t now_ms)
 {
+	log_settled(cell, m, why, now_ms);
 	log_lost_runs(cell, m, why, now_ms);
 	while (m->run_count) {
 		struct cell_run run = m->runs[0];
@@ -325,9 +352,6 @@
 	m->contained_queue[0] = '\0';
 	m->down_queue[0] = '\0';
 	cell->dirty = true;
-	cell_event(cell, &(struct cell_event){ .what = "minion-settled",
-					       .minion = m->info.id,
-					       .detail = why });
 }
 
 static void minion_update_info(struct cell *cell, struct cell_minion *m,
@@ -515,6 +539,21 @@
 	return rest;
 }
 
+/* Returns why the task does not need a reported run, for the log. */
+static const char *unwanted_reason(const struct cell_task *task,
+				   const struct cell_step *step,
+				   const struct cell_running *row)
+{
+	if (!task || step->job->final_state != CELL_JOB_UNKNOWN)
+		return "the job has ended";
+	if (task->state == CELL_TASK_ACTIVE)
+		return "the task runs elsewhere";
+	if (task->state == CELL_TASK_DONE)
+		return "the task is done";
+	return cell_task_ended(task, row->run) ? "the run has ended"
+					       : "a later run is known";
+}
+
 /*
  * Adopts a reported run that this term did not start, or had removed as ended.
  * Stops it if its task does not need it.
@@ -549,10 +588,14 @@
 		cell_job_mark_started(step->job);
 		return;
 	}
-	cell_event(cell, &(struct cell_event){ .what = "run-unwanted",
-					       .task = row->task,
-					       .minion = m->info.id,
-					       .run = row->run });
+	if (task && task->state == CELL_TASK_ACTIVE)
+		cell->stats.duplicate_runs++;
+	cell_event(cell, &(struct cell_event){
+				 .what = "run-unwanted",
+				 .task = row->task,
+				 .minion = m->info.id,
+				 .run = row->run,
+				 .detail = unwanted_reason(task, step, row) });
 	cell_run_stop(cell, m, run, now_ms);
 }
 
@@ -624,9 +667,18 @@
 }
 
 static void handle_first_report(struct cell *cell, struct cell_minion *m,
+				const struct cell_report *report,
 				uint64_t now_ms)
 {
 	m->contacted = true;
+	cell_event(cell,
+		   &(struct cell_event){
+			   .what = "minion-contacted",
+			   .minion = m->info.id,
+			   .detail = m->inherited ? "of an earlier term" : "",
+			   .age_ms = now_ms - cell->started_ms,
+			   .input = report->ended_count,
+			   .value = report->running_count });
 	minion_enroll(cell, m, now_ms);
 	cell->dirty = true;
 }
@@ -677,7 +729,7 @@
 		remove_missing_runs(cell, m, sent_ms, now_ms);
 	cell_minion_update_pace(cell, m, now_ms);
 	if (!m->contacted)
-		handle_first_report(cell, m, now_ms);
+		handle_first_report(cell, m, report, now_ms);
 	if (complete)
 		set_settled(cell, m);
 	m->next_poll_ms = now_ms;
