--- a/jaycelld/listing.c
+++ b/jaycelld/listing.c
@@ -96,8 +96,12 @@
 	if (!holder_end_call(h))
 		return;
 	l->in_flight = false;
-	if (reply->status != PF_OK)
+	if (reply->status != PF_OK) {
+		ev("minions-unread", "status=%d after_ms=%u detail=\"%s\"",
+		   reply->status, reply->elapsed_ms,
+		   reply->error ? reply->error : "");
 		return;
+	}
 	if (!l->read_revision)
 		l->read_revision = reply->read_revision;
 	apply(l, reply);
