Reproduce tasks that run twice after a change of the holder

Two ways in which a holder gives up a minion while a lease of its predecessor may last, found by reading and shown in virtual time; both fail on this code:

- A minion that does not respond and is not listed is settled 2.5 s after the first list; the lease may last 7.3 s after the claim.
- A minion that has reported, and fails before this term has renewed its lease, is settled at once: an unknown lease is taken for one that has ended.

--- /dev/null
+++ b/tests/takeover_test.cc
@@ -0,0 +1,72 @@
+#include <gtest/gtest.h>
+
+#include "cell_fixture.h"
+
+namespace
+{
+
+/* Time after a claim until all leases of earlier terms have ended. */
+constexpr uint64_t PREDECESSOR_LEASE_MS = 7300;
+
+/*
+ * A new holder with minions m0 and m1, of which m0 may have runs of an earlier
+ * term.
+ */
+struct Takeover : CellFixture {
+	Takeover()
+	{
+		struct cell_record m0 = enrolled_record("m0");
+
+		queue("q", 0, 2);
+		submit(job("j", "q", 1, 1000), false);
+		cell_replay(cell, &m0);
+		cell_replay_done(cell, now);
+	}
+
+	/* Fails each poll for @ms. */
+	void silence(uint32_t minion, const char *id, uint64_t ms)
+	{
+		for (uint64_t end = now + ms; now < end;) {
+			cell_on_poll_failed(cell, minion, id, CELL_NO_ANSWER,
+					    now);
+			durable();
+			tick(100);
+		}
+	}
+};
+
+} // namespace
+
+TEST(Takeover, UnlistedMinionIsNotSettledWhileALeaseMayLast)
+{
+	Takeover f;
+	struct cell_minion_info m1 = CellFixture::minion("m1", 8000);
+
+	cell_set_minions(f.cell, &m1, 1, f.now);
+	f.report(1, "m1", {}, {});
+	f.durable();
+	f.silence(0, "m0", PREDECESSOR_LEASE_MS - 100);
+	EXPECT_EQ(f.starts.size(), 0U);
+	f.silence(0, "m0", 200);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
+
+TEST(Takeover, MinionThatFailsBeforeItsFirstRenewalIsNotSettled)
+{
+	Takeover f;
+	struct cell_poll poll;
+
+	f.list(2, 8000);
+	f.report(1, "m1", {}, {});
+	f.durable();
+	cell_set_term_valid(f.cell, false);
+	f.report(0, "m0", { { "j.0.0.0", 11, "" } }, {});
+	f.tick(10);
+	ASSERT_TRUE(cell_poll_request(f.cell, 0, &poll, f.now));
+	EXPECT_EQ(poll.deadline_ms, 0U);
+	cell_set_term_valid(f.cell, true);
+	f.silence(0, "m0", PREDECESSOR_LEASE_MS - 200);
+	EXPECT_EQ(f.starts.size(), 0U);
+	f.silence(0, "m0", 300);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
