Count the leases of earlier terms before the first renewal

Callers saw tasks run twice, many at a time, after changes of the holder.

Cause: the end of the last lease of a minion was known to a new holder only from its own first renewal on. A minion that had reported its runs counted as settled, and if it then failed before that renewal, for instance while the term was not valid, its lease counted as ended: all its tasks were started again at once, beside runs that could last for another lease.

An inherited minion has the longest lease of its predecessor from the claim on, so that there is one bound for this and earlier terms.

Takeover.MinionThatFailsBeforeItsFirstRenewalIsNotSettled failed before: one start beside the run, 100 ms after the failure, and passes now. Ruled out for this path: a later bound is not needed, as a former holder renews nothing after the successor's first order has raised the fence.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -163,13 +163,12 @@
 	bool poll_now;		 /* at once, even if a long poll is in flight */
 	uint64_t unknown_job_ms; /* first end of an unknown job, 0: none */
 	uint64_t next_poll_ms;
-	/* An inherited minion without answers is settled at this time. */
-	uint64_t settle_deadline_ms;
 	uint64_t born_unix_ms;
 	bool clock_known;
 	uint64_t anchor_clock_ms; /* clock of the minion at anchor_ms */
 	uint64_t anchor_ms;
-	uint64_t lease_until_ms;   /* latest possible expiry, our clock */
+	/* Latest possible expiry of this and earlier terms, our clock. */
+	uint64_t lease_until_ms;
 	uint64_t last_end_handled; /* highest end number applied */
 	uint64_t last_end_durable; /* highest end number made durable */
 	double fail_score;
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -288,14 +288,9 @@
 }
 
 /* Returns the ms until all leases of this and earlier terms have ended. */
-static uint64_t lease_left_ms(const struct cell *cell,
-			      const struct cell_minion *m, uint64_t now_ms)
+static uint64_t lease_left_ms(const struct cell_minion *m, uint64_t now_ms)
 {
-	uint64_t until = cell->started_ms + cell->settings.predecessor_lease_ms;
-
-	if (m->lease_until_ms > until)
-		until = m->lease_until_ms;
-	return until > now_ms ? until - now_ms : 0;
+	return m->lease_until_ms > now_ms ? m->lease_until_ms - now_ms : 0;
 }
 
 /* Logs why a minion is settled, and what was known of it. */
@@ -309,7 +304,7 @@
 			   .detail = why,
 			   .age_ms = now_ms - (m->alive_ms ? m->alive_ms
 							   : cell->started_ms),
-			   .input = lease_left_ms(cell, m, now_ms),
+			   .input = lease_left_ms(m, now_ms),
 			   .value = m->run_count });
 }
 
@@ -419,7 +414,7 @@
 		cell->unsettled++;
 	}
 	m->enrolled = true;
-	m->settle_deadline_ms =
+	m->lease_until_ms =
 		cell->started_ms + cell->settings.predecessor_lease_ms;
 	m->next_poll_ms = cell->started_ms;
 	return m;
@@ -868,7 +863,7 @@
 static void settle_inherited(struct cell *cell, struct cell_minion *m,
 			     uint64_t now_ms)
 {
-	if (now_ms >= m->settle_deadline_ms)
+	if (now_ms >= m->lease_until_ms)
 		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
 	else if (!m->listed && cell->minions_listed &&
 		 now_ms > cell->first_listed_ms + INHERITED_UNLISTED_MS)
