Do not settle an unlisted minion while a lease may last

Callers saw tasks run twice, many at a time, after changes of the holder: two runs at once, and starts after an end that was observed later.

Cause: a new holder gave up a minion of an earlier term that did not respond and was not listed 2.5 s after its first list, though the lease of its predecessor may last 7.3 s after the claim. The absence of an entry says nothing of what runs: an entry is missing as soon as the lease in the store ran out, for all minions at once after an outage, and late on a busy machine. Giving a minion up is journalled, so that a third holder did not wait for it either.

A minion that does not respond is settled when the last lease may have ended, listed or not.

Evidence: Takeover.UnlistedMinionIsNotSettledWhileALeaseMayLast failed before (one start beside the run).

Ruled out: to take a refused connection as proof that the process is gone. A cut may refuse connections as well.

--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -245,7 +245,7 @@
 	uint64_t runs_lost;    /* runs that were lost with their minion */
 	uint64_t tasks_given_up;
 	uint64_t duplicate_runs; /* found beside another run of their task */
-	uint32_t failing; /* listed minions that do not respond */
+	uint32_t failing;	 /* listed minions that do not respond */
 	uint64_t used_cpu_milli;
 	uint64_t total_cpu_milli;
 };
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -274,7 +274,6 @@
 	uint64_t started_ms;
 	bool valid; /* the term may start runs and renew leases */
 	bool minions_listed;
-	uint64_t first_listed_ms;
 	bool replaying;
 	bool dirty; /* a scheduling pass is needed */
 	uint64_t next_run;
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -17,11 +17,6 @@
 #define LEASE_MARGIN_MS 60
 /* A minion that is not listed for longer than this has left, in ms. */
 #define UNLISTED_TIMEOUT_MS 3000
-/*
- * The platform lists every live minion about 2 s after its store is back, so a
- * minion of an earlier term that is unlisted for longer has left, in ms.
- */
-#define INHERITED_UNLISTED_MS 2500
 /* Interval between two attempts to stop a run, in ms. */
 #define STOP_RETRY_MS 300
 /* A job that is unknown for this long no longer exists, in ms. */
@@ -393,8 +388,6 @@
 		}
 		minion_update_info(cell, m, &infos[i], now_ms);
 	}
-	if (!cell->minions_listed)
-		cell->first_listed_ms = now_ms;
 	cell->minions_listed = true;
 	cell->dirty = true;
 }
@@ -856,20 +849,6 @@
 	}
 }
 
-/*
- * Settles a minion of an earlier term that does not respond, once the leases of
- * that term have ended or the platform no longer lists it.
- */
-static void settle_inherited(struct cell *cell, struct cell_minion *m,
-			     uint64_t now_ms)
-{
-	if (now_ms >= m->lease_until_ms)
-		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
-	else if (!m->listed && cell->minions_listed &&
-		 now_ms > cell->first_listed_ms + INHERITED_UNLISTED_MS)
-		minion_settle(cell, m, "not listed", now_ms);
-}
-
 static void tick_minion(struct cell *cell, struct cell_minion *m,
 			uint64_t now_ms)
 {
@@ -883,8 +862,8 @@
 			cell_minion_clear_runs(cell, m, now_ms);
 		minion_settle(cell, m, "lease ended", now_ms);
 	}
-	if (m->inherited && (!m->contacted || (m->failing && !leased)))
-		settle_inherited(cell, m, now_ms);
+	if (m->inherited && !leased && (!m->contacted || m->failing))
+		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
 	if (!m->listed && cell->minions_listed && !m->run_count &&
 	    !m->inherited && now_ms > m->unlisted_ms + UNLISTED_TIMEOUT_MS) {
 		if (m->enrolled)
