Start a job only after the term was confirmed since it was learned of

By reading, for the incident of tasks that run twice: no caller is known to have seen this one.

Cause: a successor starts a job at once that the daemon which stored it reports as new. A former holder that does not know of the claim yet finds the same job in the store, or gets it from a daemon that was asked for it again, and starts it as well: its orders are valid for up to 1.5 s, at minions that the successor has not reached.

A job that is not reported as new starts only once the store has confirmed the term by a call after the holder learned of the job. Then it was stored before any claim, and a successor reads it and waits for the minions.

Takeover.FormerHolderDoesNotStartAJobStoredAfterTheClaim failed before (one start) and passes now. New jobs start at once as before.

Ruled out: to treat all jobs as known for 1.7 s after a claim. They would wait for minions that crashed shortly before it.

--- a/bench/cell_bench.c
+++ b/bench/cell_bench.c
@@ -197,7 +197,7 @@
 		m->capacity.cpu_milli = i % 7 ? MINION_CPU_MILLI : 1000;
 	}
 	cell_set_minions(b->cell, b->infos, MINIONS, b->now_ms);
-	cell_set_term_valid(b->cell, true);
+	cell_set_term_valid(b->cell, true, UINT64_MAX);
 	for (uint32_t i = 0; i < TICKS; i++) {
 		double at;
 
--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -1138,7 +1138,7 @@
 	cell_replay_done(s->cell, s->now);
 	for (uint32_t i = 0; i < s->settings->lanes; i++)
 		cell_lane_up(s->cell, i);
-	cell_set_term_valid(s->cell, true);
+	cell_set_term_valid(s->cell, true, UINT64_MAX);
 	list_minions(s);
 }
 
--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -165,6 +165,8 @@
 void terms_release(struct terms *terms);
 bool terms_valid(const struct terms *terms, uint64_t now_ms);
 bool terms_check(struct terms *terms, uint64_t now_ms);
+uint64_t terms_confirmed_ms(const struct terms *terms);
+void terms_want_confirmation(struct terms *terms, uint64_t after_ms);
 uint64_t terms_token(const struct terms *terms);
 uint64_t terms_latest(const struct terms *terms);
 
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -87,13 +87,16 @@
 void holder_job(struct holder *h, const char *data, size_t len, bool fresh)
 {
 	struct cell_job_spec spec;
+	uint64_t now = loop_now_ms();
+	bool is_new;
 
 	if (!record_unpack_job(data, len, &spec)) {
 		ev("job-malformed", "bytes=%zu", len);
 		return;
 	}
-	cell_submit(h->cell, &spec, fresh && h->phase == PHASE_READY,
-		    cd_unix_ms(), loop_now_ms());
+	is_new = fresh && h->phase == PHASE_READY;
+	if (cell_submit(h->cell, &spec, is_new, cd_unix_ms(), now) && !is_new)
+		terms_want_confirmation(h->d->terms, now);
 }
 
 /* Adds listed jobs, any of which an earlier holder may have started. */
@@ -325,7 +328,8 @@
 	listing_tick(h->listing, now_ms);
 	if (!h->jobs_polling && now_ms >= h->jobs_poll_ms)
 		poll_jobs(h, now_ms);
-	cell_set_term_valid(h->cell, terms_check(h->d->terms, now_ms));
+	cell_set_term_valid(h->cell, terms_check(h->d->terms, now_ms),
+			    terms_confirmed_ms(h->d->terms));
 	cell_tick(h->cell, cd_unix_ms(), now_ms);
 	journal_tick(h, now_ms);
 	gc_tick(h->gc, now_ms);
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -25,6 +25,8 @@
  * this long.
  */
 #define CONFIRM_INTERVAL_MS 500
+/* As above, while the scheduler waits for a confirmation. */
+#define CONFIRM_REQUESTED_MS 100
 /* The store is healthy if it served a call within this time. */
 #define STORE_OK_MS 1000
 /*
@@ -61,6 +63,7 @@
 	bool valid;	/* as last logged */
 	uint64_t confirmed_ms;
 	uint64_t confirm_sent_ms;
+	uint64_t confirm_after_ms; /* as last requested */
 	bool confirming;
 	uint64_t started_ms; /* of this process */
 	uint64_t lease_id;
@@ -155,6 +158,20 @@
 	return term_valid(&proof);
 }
 
+/* Returns when the latest call was sent with which the store confirmed the
+ * term.
+ */
+uint64_t terms_confirmed_ms(const struct terms *t)
+{
+	return t->confirmed_ms;
+}
+
+/* Requests that the store confirms the term by a call after @after_ms. */
+void terms_want_confirmation(struct terms *t, uint64_t after_ms)
+{
+	t->confirm_after_ms = after_ms;
+}
+
 /* As terms_valid(); logs each change, with the evidence. */
 bool terms_check(struct terms *t, uint64_t now_ms)
 {
@@ -478,6 +495,16 @@
 	}
 }
 
+static bool is_confirmation_due(const struct terms *t, uint64_t now)
+{
+	uint64_t interval = CONFIRM_INTERVAL_MS;
+
+	if (t->confirmed_ms <= t->confirm_after_ms)
+		interval = CONFIRM_REQUESTED_MS;
+	return now > t->confirmed_ms + interval &&
+	       now > t->confirm_sent_ms + interval;
+}
+
 static void maintain_term(struct terms *t, uint64_t now)
 {
 	uint32_t ttl_ms = t->d->holder && holder_settled(t->d->holder, now)
@@ -497,8 +524,7 @@
 				       CALL_TIMEOUT_MS, on_lease_renewed, t);
 		}
 	}
-	if (!t->confirming && now > t->confirmed_ms + CONFIRM_INTERVAL_MS &&
-	    now > t->confirm_sent_ms + CONFIRM_INTERVAL_MS) {
+	if (!t->confirming && is_confirmation_due(t, now)) {
 		t->confirming = true;
 		t->confirm_sent_ms = now;
 		pf_get(t->d->store, CD_HOLDER_KEY, CALL_TIMEOUT_MS, on_confirm,
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -97,14 +97,16 @@
 }
 
 /*
- * Sets whether this term is valid. While it is not, no run is started and no
- * lease is renewed; ends of runs are still processed.
+ * Sets whether this term is valid, and until when no later term had begun, as
+ * far as the store has confirmed it. While the term is not valid, no run is
+ * started and no lease is renewed; ends of runs are still processed.
  */
-void cell_set_term_valid(struct cell *cell, bool valid)
+void cell_set_term_valid(struct cell *cell, bool valid, uint64_t confirmed_ms)
 {
 	if (cell->valid != valid)
 		cell->dirty = true;
 	cell->valid = valid;
+	cell->confirmed_ms = confirmed_ms;
 }
 
 /* Returns the minimum time between two passes, in ms. */
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -256,7 +256,7 @@
 void cell_set_config(struct cell *cell, const struct cell_config *config);
 void cell_lane_up(struct cell *cell, uint32_t lane);
 void cell_lane_lost(struct cell *cell, uint32_t lane);
-void cell_set_term_valid(struct cell *cell, bool valid);
+void cell_set_term_valid(struct cell *cell, bool valid, uint64_t confirmed_ms);
 
 bool cell_submit(struct cell *cell, struct cell_job_spec *spec, bool is_new,
 		 uint64_t unix_ms, uint64_t now_ms);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -272,7 +272,8 @@
 	struct cell_queue_ref *queue_refs; /* one per queue of config */
 	struct cell_queue_ref *queues;	   /* by name */
 	uint64_t started_ms;
-	bool valid; /* the term may start runs and renew leases */
+	bool valid;	       /* the term may start runs and renew leases */
+	uint64_t confirmed_ms; /* no later term had begun then */
 	bool minions_listed;
 	bool replaying;
 	bool dirty; /* a scheduling pass is needed */
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -385,13 +385,19 @@
 
 /*
  * Returns false while a run of an earlier term may exist on a minion that has
- * not reported yet.
+ * not reported yet, or while a later term may exist that counts the job as new:
+ * a job that was stored after the claim of a successor is known to it only from
+ * the daemon that stored it.
  */
 static bool step_is_settled(const struct cell *cell,
 			    const struct ready_entry *entry)
 {
-	return !entry->step->job->inherited ||
-	       (!cell->unsettled && cell->minions_listed);
+	const struct cell_job *job = entry->step->job;
+
+	if (!job->inherited)
+		return true;
+	return !cell->unsettled && cell->minions_listed &&
+	       cell->confirmed_ms > job->added_ms;
 }
 
 /* Suspects with the fewest crashes first. */
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -141,7 +141,7 @@
 		settings.ended_job_ttl_ms = 120000;
 		cell = cell_new(&owner, &settings, now);
 		cell_lane_up(cell, 0);
-		cell_set_term_valid(cell, true);
+		cell_set_term_valid(cell, true, UINT64_MAX);
 	}
 
 	~CellFixture()
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -59,14 +59,30 @@
 	f.list(2, 8000);
 	f.report(1, "m1", {}, {});
 	f.durable();
-	cell_set_term_valid(f.cell, false);
+	cell_set_term_valid(f.cell, false, 0);
 	f.report(0, "m0", { { "j.0.0.0", 11, "" } }, {});
 	f.tick(10);
 	ASSERT_TRUE(cell_poll_request(f.cell, 0, &poll, f.now));
 	EXPECT_EQ(poll.deadline_ms, 0U);
-	cell_set_term_valid(f.cell, true);
+	cell_set_term_valid(f.cell, true, UINT64_MAX);
 	f.silence(0, "m0", PREDECESSOR_LEASE_MS - 200);
 	EXPECT_EQ(f.starts.size(), 0U);
 	f.silence(0, "m0", 300);
 	EXPECT_EQ(f.starts.size(), 1U);
 }
+
+TEST(Takeover, FormerHolderDoesNotStartAJobStoredAfterTheClaim)
+{
+	CellFixture f;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	cell_set_term_valid(f.cell, true, f.now);
+	f.submit(CellFixture::job("j", "q", 1, 1000), false);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 0U);
+	cell_set_term_valid(f.cell, true, f.now);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
