Settle a draining minion as soon as nothing runs on it

Cause: since no minion is settled before the last lease of an earlier term may have ended, jobs of earlier terms wait 7.3 s after a takeover for a minion that left shortly before it.

A draining minion gets no work, so that nothing can run there once its last run has ended.

Takeover.DrainedMinionIsNotLeftToTheSuccessor failed before (no record until 3 s after the entry is gone); Takeover.MinionThatNoLongerDrainsGetsWork guards the way back.

--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -224,10 +224,11 @@
 	return true;
 }
 
+/* Enrolls a minion that responds, unless it drains and gets no work. */
 static void minion_enroll(struct cell *cell, struct cell_minion *m,
 			  uint64_t now_ms)
 {
-	if (m->enrolled || m->enrolling)
+	if (m->enrolled || m->enrolling || !m->contacted || m->drain_ms)
 		return;
 	m->enrolling = true;
 	cell_record_add(cell,
@@ -862,6 +863,10 @@
 			cell_minion_clear_runs(cell, m, now_ms);
 		minion_settle(cell, m, "lease ended", now_ms);
 	}
+	/* A successor need not wait for a minion that is about to leave. */
+	if (m->drain_ms && m->enrolled && !m->inherited && !m->run_count)
+		minion_settle(cell, m, "drained", now_ms);
+	minion_enroll(cell, m, now_ms);
 	if (m->inherited && !leased && (!m->contacted || m->failing))
 		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
 	if (!m->listed && cell->minions_listed && !m->run_count &&
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -68,6 +68,7 @@
 	std::vector<Pace> paces;
 	std::vector<AdviceRequest> advice_requests;
 	std::vector<uint64_t> records;
+	std::vector<std::string> settled; /* minions, as journalled */
 	std::vector<uint32_t> polls;
 	std::vector<std::string> expired_jobs;
 	uint64_t now = 100000;
@@ -118,8 +119,11 @@
 				},
 			.record =
 				[](struct cell_owner *o, uint64_t seq,
-				   const struct cell_record *) {
+				   const struct cell_record *r) {
 					of(o)->records.push_back(seq);
+					if (r->kind == CELL_RECORD_SETTLED)
+						of(o)->settled.push_back(
+							r->minion);
 				},
 			.poll =
 				[](struct cell_owner *o, uint32_t minion) {
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -86,3 +86,53 @@
 	f.tick(100);
 	EXPECT_EQ(f.starts.size(), 1U);
 }
+
+TEST(Takeover, DrainedMinionIsNotLeftToTheSuccessor)
+{
+	CellFixture f;
+	struct cell_minion_info m0 = CellFixture::minion("m0", 8000);
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	m0.draining = true;
+	m0.remaining_ms = 4000;
+	cell_set_minions(f.cell, &m0, 1, f.now);
+	f.tick(10);
+	EXPECT_TRUE(f.settled.empty());
+	f.report(0, "m0", {},
+		 { { 1, "j.0.0.0", f.starts[0].run, CELL_END_DONE, "" } });
+	f.tick(10);
+	EXPECT_EQ(f.settled, std::vector<std::string>{ "m0" });
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.tick(10);
+	EXPECT_EQ(f.settled.size(), 1U);
+}
+
+TEST(Takeover, MinionThatNoLongerDrainsGetsWork)
+{
+	CellFixture f;
+	struct cell_minion_info m0 = CellFixture::minion("m0", 8000);
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	m0.draining = true;
+	cell_set_minions(f.cell, &m0, 1, f.now);
+	f.tick(10);
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.tick(10);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick(10);
+	EXPECT_EQ(f.starts.size(), 0U);
+	f.list(1, 8000);
+	f.tick(10);
+	f.durable();
+	f.tick(10);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
