Ignore a late report of a former life of a minion

Cause: responses on different connections may overtake each other. A report of the former life of a minion that arrives after one of the present life counted as yet another life: all runs of the present one were released and their tasks started again beside them.

A report of another life is ignored if its poll was sent before the latest answered one. Start times are not compared, as the clock of a machine may step back.

Report.LateReportOfAFormerLifeDoesNotReleaseRuns failed before (four starts for two tasks) and passes now.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -164,6 +164,7 @@
 	uint64_t unknown_job_ms; /* first end of an unknown job, 0: none */
 	uint64_t next_poll_ms;
 	uint64_t born_unix_ms;
+	uint64_t report_sent_ms; /* latest poll that was answered */
 	bool clock_known;
 	uint64_t anchor_clock_ms; /* clock of the minion at anchor_ms */
 	uint64_t anchor_ms;
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -688,13 +688,20 @@
 		    uint64_t now_ms)
 {
 	struct cell_minion *m = minion_get(cell, minion, id);
+	bool another_life;
 	bool complete;
 
 	if (!m)
 		return;
 	m->polls_in_flight -= m->polls_in_flight > 0;
-	if (m->born_unix_ms && report->born_unix_ms &&
-	    m->born_unix_ms != report->born_unix_ms) {
+	another_life = m->born_unix_ms && report->born_unix_ms &&
+		       m->born_unix_ms != report->born_unix_ms;
+	/* A response may be overtaken by that of a later life. */
+	if (another_life && sent_ms < m->report_sent_ms)
+		return;
+	if (sent_ms > m->report_sent_ms)
+		m->report_sent_ms = sent_ms;
+	if (another_life) {
 		set_failing(m, false, now_ms);
 		cell_minion_blame(cell, m, now_ms);
 		minion_settle(cell, m, "another life", now_ms);
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -72,6 +72,7 @@
 	std::vector<uint32_t> polls;
 	std::vector<std::string> expired_jobs;
 	uint64_t now = 100000;
+	uint64_t born_unix_ms = 1; /* of the life that report() is of */
 	uint64_t unix_ms = 1700000000000;
 
 	static CellFixture *of(struct cell_owner *o)
@@ -251,7 +252,7 @@
 			ended[i].end = ends[i].end;
 			ended[i].checkpoint = ends[i].saved.c_str();
 		}
-		r.born_unix_ms = 1;
+		r.born_unix_ms = born_unix_ms;
 		r.clock_ms = now - 50000;
 		r.running_count = static_cast<uint32_t>(running.size());
 		r.running = running.data();
--- a/tests/report_test.cc
+++ b/tests/report_test.cc
@@ -187,3 +187,34 @@
 	ASSERT_EQ(f.starts.size(), 1U);
 	EXPECT_EQ(f.starts[0].task, "j.0.0.1");
 }
+
+TEST(Report, LateReportOfAFormerLifeDoesNotReleaseRuns)
+{
+	RunningJob f;
+	std::vector<Row> rows;
+	std::vector<Row> former;
+
+	ASSERT_EQ(f.starts.size(), 2U);
+	for (const Order &s : f.starts)
+		former.push_back({ s.task, s.run, "" });
+	f.starts.clear();
+	f.born_unix_ms = 2;
+	for (int i = 0; i < 40; i++) {
+		f.report(0, "m0", rows, {});
+		f.durable();
+		f.tick(100);
+		rows.clear();
+		for (const Order &s : f.starts) {
+			cell_on_start(f.cell, 0, s.task.c_str(), s.run, CELL_OK,
+				      f.now);
+			rows.push_back({ s.task, s.run, "" });
+		}
+	}
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.born_unix_ms = 1;
+	f.report(0, "m0", former, {}, 5000);
+	f.durable();
+	for (int i = 0; i < 40; i++)
+		f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
