Never add a job again that has expired

Cause: the purge of an ended job freed it and only queued its key for deletion. While the key was in the store, a lookup of an unknown id, the poll of the jobs and a new listing after a compacted watch read it as a job that was just stored.

It is forgotten once the store has confirmed the deletion and the watch of the jobs is past the revision of the deletion: then neither a listing nor a watch can return the key. A lookup is only sent for an id that is not remembered, and a read after the deletion finds nothing.

Ruled out: a fixed time after the deletion, as a watch that is behind, or a daemon that was paused, can return the key later; keeping the whole job, which would count in every walk over the jobs.

One line of cell.h that clang-format rejects is reformatted.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -178,7 +178,10 @@
 
 /* gc.c: deferred deletion of obsolete keys */
 struct gc;
-struct gc *gc_new(struct celld *d, uint64_t token);
+/* A key was deleted, at that revision of the store at the latest. */
+typedef void (*gc_deleted_fn)(void *ctx, const char *key, uint64_t revision);
+struct gc *gc_new(struct celld *d, uint64_t token, gc_deleted_fn deleted,
+		  void *ctx);
 void gc_free(struct gc *gc);
 void gc_delete_later(struct gc *gc, const char *key);
 void gc_tick(struct gc *gc, uint64_t now_ms);
--- a/jaycelld/gc.c
+++ b/jaycelld/gc.c
@@ -17,6 +17,8 @@
 struct gc {
 	struct celld *d;
 	uint64_t token;
+	gc_deleted_fn deleted;
+	void *ctx;
 	char **keys; /* to be deleted, in order */
 	uint32_t head;
 	uint32_t count;
@@ -26,13 +28,19 @@
 	uint64_t next_ms;
 };
 
-/* Returns a collector for the term with fencing token @token. */
-struct gc *gc_new(struct celld *d, uint64_t token)
+/*
+ * Returns a collector for the term with fencing token @token. It calls @deleted
+ * for each key once it is no longer in the store.
+ */
+struct gc *gc_new(struct celld *d, uint64_t token, gc_deleted_fn deleted,
+		  void *ctx)
 {
 	struct gc *gc = xcalloc(1, sizeof(*gc));
 
 	gc->d = d;
 	gc->token = token;
+	gc->deleted = deleted;
+	gc->ctx = ctx;
 	return gc;
 }
 
@@ -75,8 +83,10 @@
 	/* Retried later. Deleting a key a second time is harmless. */
 	if (reply->status != PF_OK)
 		return;
-	for (uint32_t i = 0; i < n; i++)
+	for (uint32_t i = 0; i < n; i++) {
+		gc->deleted(gc->ctx, gc->keys[gc->head + i], reply->revision);
 		free(gc->keys[gc->head + i]);
+	}
 	gc->head += n;
 	if (gc->head == gc->count) {
 		gc->head = 0;
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -195,6 +195,7 @@
 	}
 	h->cursor[0] = '\0';
 	h->jobs_revision = reply->read_revision;
+	cell_on_jobs_read(h->cell, h->jobs_revision);
 }
 
 static void on_jobs(void *ctx, const struct pf_reply *reply)
@@ -214,6 +215,7 @@
 	holder_add_jobs(h, reply);
 	if (reply->read_revision > h->jobs_revision)
 		h->jobs_revision = reply->read_revision;
+	cell_on_jobs_read(h->cell, h->jobs_revision);
 }
 
 /* Reads jobs that were stored without a notification to this holder. */
@@ -331,6 +333,15 @@
 	gc_tick(h->gc, now_ms);
 }
 
+static void on_key_deleted(void *ctx, const char *key, uint64_t revision)
+{
+	const size_t len = strlen(CD_JOB_PREFIX);
+	struct holder *h = ctx;
+
+	if (!strncmp(key, CD_JOB_PREFIX, len))
+		cell_on_job_deleted(h->cell, key + len, revision);
+}
+
 static void on_tick(struct timer *timer)
 {
 	struct holder *h = timer->ctx;
@@ -359,7 +370,7 @@
 	h->d = d;
 	h->token = token;
 	h->started_ms = loop_now_ms();
-	h->gc = gc_new(d, token);
+	h->gc = gc_new(d, token, on_key_deleted, h);
 	h->listing = listing_new(h);
 	h->cell = cell_new(&h->owner, &settings, h->started_ms);
 	h->tick = (struct timer){ .fn = on_tick, .ctx = h };
--- a/jaycelld/query.c
+++ b/jaycelld/query.c
@@ -73,7 +73,9 @@
 {
 	enum cell_job_state state = cell_get_job_state(h->cell, id);
 
-	if (state == CELL_JOB_UNKNOWN)
+	if (cell_job_expired(h->cell, id))
+		cd_reply(h->d, origin, CD_GONE, 0);
+	else if (state == CELL_JOB_UNKNOWN)
 		lookup(h, origin, CD_OP_STATE, id);
 	else
 		cd_reply(h->d, origin, CD_OK, state);
@@ -84,6 +86,10 @@
 {
 	uint64_t seq = cell_cancel(h->cell, id, loop_now_ms());
 
+	if (cell_job_expired(h->cell, id)) {
+		cd_reply(h->d, origin, CD_GONE, 0);
+		return;
+	}
 	if (seq == UINT64_MAX) {
 		lookup(h, origin, CD_OP_CANCEL, id);
 		return;
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -51,6 +51,7 @@
 	if (!cell)
 		return;
 	cell_jobs_free(cell);
+	cell_expired_free(cell);
 	cell_minions_free(cell);
 	cell_advice_free(cell);
 	queue_index_free(cell);
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -134,7 +134,11 @@
 		       const struct cell_record *record);
 	/* Polls a minion with the request that cell_poll_request() returns. */
 	void (*poll)(struct cell_owner *owner, uint32_t minion);
-	/* The status retention of an ended job has expired. May be NULL. */
+	/*
+	 * The status retention of an ended job has expired: its owner deletes
+	 * it from the store and calls cell_on_job_deleted(). May be NULL if
+	 * jobs are not stored.
+	 */
 	void (*job_expired)(struct cell_owner *owner, const char *job);
 	void (*event)(struct cell_owner *owner, const struct cell_event *event);
 };
@@ -245,7 +249,7 @@
 	uint64_t runs_lost;    /* runs that were lost with their minion */
 	uint64_t tasks_given_up;
 	uint64_t duplicate_runs; /* found beside another run of their task */
-	uint32_t failing; /* listed minions that do not respond */
+	uint32_t failing;	 /* listed minions that do not respond */
 	uint64_t used_cpu_milli;
 	uint64_t total_cpu_milli;
 };
@@ -270,6 +274,9 @@
 uint64_t cell_cancel(struct cell *cell, const char *id, uint64_t now_ms);
 enum cell_job_state cell_get_job_state(const struct cell *cell, const char *id);
 const char *cell_job_state_name(enum cell_job_state state);
+bool cell_job_expired(const struct cell *cell, const char *id);
+void cell_on_job_deleted(struct cell *cell, const char *id, uint64_t revision);
+void cell_on_jobs_read(struct cell *cell, uint64_t revision);
 uint32_t cell_pending_jobs(const struct cell *cell, const char *queue);
 bool cell_end_parse(const char *text, enum cell_end *end);
 const char *cell_end_name(enum cell_end end);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -104,6 +104,16 @@
 	UT_hash_handle hh;
 };
 
+/* A job that has ended and whose status is no longer kept. */
+struct cell_expired {
+	char id[CELL_ID_MAX];
+	enum cell_job_state state;
+	bool deleted;		   /* from the store */
+	uint64_t revision;	   /* of the store, of its deletion */
+	struct cell_expired *next; /* while it is being freed */
+	UT_hash_handle hh;
+};
+
 /* Pace of a run, in percent of its full speed. */
 #define CELL_PACE_FULL 100
 #define CELL_PACE_UNKNOWN 255
@@ -279,7 +289,8 @@
 	bool replaying;
 	bool dirty; /* a scheduling pass is needed */
 	uint64_t next_run;
-	struct cell_job *jobs; /* by id */
+	struct cell_job *jobs;	      /* by id */
+	struct cell_expired *expired; /* by id */
 	uint32_t live_jobs;
 	uint32_t recurring_jobs;
 	struct cell_minion **minions;
@@ -354,6 +365,14 @@
 void cell_event(struct cell *cell, const struct cell_event *event);
 void cell_grow(void **items, uint32_t *capacity, uint32_t count, size_t size);
 
+/* expired.c */
+void cell_expired_add(struct cell *cell, const struct cell_job *job);
+void cell_expired_snapshot(const struct cell *cell,
+			   void (*emit)(void *ctx,
+					const struct cell_record *record),
+			   void *ctx);
+void cell_expired_free(struct cell *cell);
+
 /* cell.c */
 const struct cell_queue_spec *cell_queue(const struct cell *cell,
 					 const char *name);
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -260,7 +260,7 @@
  * Adds a job that is already in the store, and takes ownership of what @spec
  * points to. @is_new means that no other holder can know the job; otherwise an
  * earlier holder may have started it. Returns false, and releases @spec, if the
- * job is a duplicate.
+ * job is a duplicate or has expired.
  */
 bool cell_submit(struct cell *cell, struct cell_job_spec *spec, bool is_new,
 		 uint64_t unix_ms, uint64_t now_ms)
@@ -269,7 +269,7 @@
 	struct cell_job *job = cell_job_find(cell, spec->id);
 
 	cell->unix_ms = unix_ms;
-	if (job) {
+	if (job || cell_job_expired(cell, spec->id)) {
 		cell_job_spec_free(spec);
 		return false;
 	}
@@ -810,9 +810,11 @@
 		if (!job->ended_ms ||
 		    now_ms <= job->ended_ms + cell->settings.ended_job_ttl_ms)
 			continue;
-		if (cell->owner->ops->job_expired)
+		if (cell->owner->ops->job_expired) {
+			cell_expired_add(cell, job);
 			cell->owner->ops->job_expired(cell->owner,
 						      job->spec.id);
+		}
 		job_free(cell, job);
 	}
 }
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -85,5 +85,6 @@
 	}
 	HASH_ITER(hh, cell->jobs, job, tmp)
 	emit_job(&e, job);
+	cell_expired_snapshot(cell, emit, ctx);
 	cell_contain_snapshot(cell, emit, ctx);
 }
