Compare failed attempts with the limit before each start

Cause: task_failed() compares the attempts with max_attempts of the queue only when an attempt fails. While the queue is missing from the configuration there is no limit to compare with, and nobody looked again: neither when the route came back, nor with a limit that was lowered, nor in a successor that replayed the failures while the route was away.

cell_step_exhausted() fails the job when a task that waits for a start has used up its attempts under the present limit. It is asked where a step may start a task, also a suspect, and after runs of earlier terms are settled, so that no run that is still to be reported is overlooked. A counter of the step answers for all but the steps concerned. The change of place.c is the two calls.

Ruled out: a check when the configuration changes, which would walk over all tasks with each of thousands of changes, and would not wait for runs of earlier terms.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -64,7 +64,8 @@
 	uint32_t tasks_active; /* tasks with a run */
 	uint64_t *gang_failed; /* gang runs with a failed member */
 	uint32_t gang_failed_count;
-	uint32_t crashes; /* of all tasks */
+	uint32_t most_fails; /* failed attempts, of the task with the most */
+	uint32_t crashes;    /* of all tasks */
 	uint64_t unblocked_ms;
 	bool unblocked; /* all steps it depends on are done */
 	bool in_ready_list;
@@ -358,6 +359,8 @@
 bool cell_end_apply(struct cell *cell, const struct cell_ended *end,
 		    uint32_t minion, uint64_t now_ms);
 void cell_job_fail(struct cell *cell, struct cell_job *job, uint64_t now_ms);
+bool cell_step_exhausted(struct cell *cell, struct cell_step *step,
+			 const struct cell_queue_spec *queue, uint64_t now_ms);
 void cell_job_stop_runs(struct cell *cell, struct cell_job *job,
 			uint64_t now_ms);
 void cell_gang_abort(struct cell *cell, struct cell_step *step, uint64_t run,
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -639,6 +639,8 @@
 	const struct cell_queue_spec *queue = NULL;
 	uint32_t fails = count_failed_attempt(step, task, run);
 
+	if (fails > step->most_fails)
+		step->most_fails = fails;
 	task->failed_on = minion;
 	if (step->spec->long_running)
 		return;
@@ -648,6 +650,36 @@
 		set_final_state(cell, step->job, CELL_JOB_FAILED, now_ms);
 }
 
+static uint32_t failed_attempts(const struct cell_step *step,
+				const struct cell_task *task)
+{
+	return step->spec->gang ? step->gang_failed_count : task->fails;
+}
+
+/*
+ * Fails the job if a task of the step that waits for a start has no attempts
+ * left, and returns true. Its latest failure may have come while the queue was
+ * missing from the configuration, or had a higher limit.
+ */
+bool cell_step_exhausted(struct cell *cell, struct cell_step *step,
+			 const struct cell_queue_spec *queue, uint64_t now_ms)
+{
+	if (!step->most_fails || step->most_fails < queue->max_attempts ||
+	    step->spec->long_running ||
+	    step->job->final_state != CELL_JOB_UNKNOWN)
+		return false;
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const struct cell_task *task = &step->tasks[i];
+
+		if (task->state != CELL_TASK_READY ||
+		    failed_attempts(step, task) < queue->max_attempts)
+			continue;
+		cell_job_fail(cell, step->job, now_ms);
+		return true;
+	}
+	return false;
+}
+
 /* Detaches a run from its task, which becomes ready unless it is done. */
 void cell_task_release(struct cell *cell, const char *task, uint64_t run,
 		       uint64_t now_ms)
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -427,7 +427,9 @@
 		bool yielded;
 		uint32_t found;
 
-		if (cell_step_give_up(cell, step, now_ms) ||
+		if (cell_step_exhausted(cell, step, suspects[i]->queue,
+					now_ms) ||
+		    cell_step_give_up(cell, step, now_ms) ||
 		    !cell_isolation_possible(cell, step, now_ms))
 			continue;
 		found = collect_candidates(cell, step, suspects[i]->queue,
@@ -450,7 +452,8 @@
 
 	if (!step_is_settled(cell, entry))
 		return;
-	if (cell_step_give_up(cell, step, now_ms) || cell_suspects_only(step) ||
+	if (cell_step_exhausted(cell, step, entry->queue, now_ms) ||
+	    cell_step_give_up(cell, step, now_ms) || cell_suspects_only(step) ||
 	    !cell_contain_admits(cell, step, entry->late))
 		return;
 	n = collect_candidates(cell, step, entry->queue, candidates, &yielded,
