--- a/jaycelld/journal.c
+++ b/jaycelld/journal.c
@@ -16,6 +16,11 @@
  */
 #define BATCH_INTERVAL_MS 40
 #define BATCH_RECORDS_MAX 400
+/*
+ * Records are added to a batch up to this size. With one more it is below the
+ * limit of the store for a value, 1 MiB, which a batch must never exceed.
+ */
+#define BATCH_BYTES_MAX 65536
 #define JOURNAL_RETRY_MS 60
 
 /* Queues a record; cell_on_durable() is called once it is durable. */
@@ -194,17 +199,19 @@
 static struct batch *fill_batch(struct holder *h)
 {
 	uint32_t first = h->queue_head + h->records_in_flight;
-	uint32_t n = h->queue_count - first;
+	uint32_t queued = h->queue_count - first;
+	uint32_t n = 0;
 	uint32_t at =
 		(h->batch_first + h->batches_in_flight) % BATCHES_IN_FLIGHT_MAX;
 	struct batch *b = &h->batches[at];
 	struct buf records = { 0 };
 
-	if (n > BATCH_RECORDS_MAX)
-		n = BATCH_RECORDS_MAX;
-	for (uint32_t i = 0; i < n; i++)
-		buf_append(&records, h->queue[first + i].bytes.data,
-			   h->queue[first + i].bytes.len);
+	while (n < queued && n < BATCH_RECORDS_MAX &&
+	       records.len < BATCH_BYTES_MAX) {
+		buf_append(&records, h->queue[first + n].bytes.data,
+			   h->queue[first + n].bytes.len);
+		n++;
+	}
 	*b = (struct batch){ .holder = h,
 			     .number = h->batch_number++,
 			     .records = n,
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -239,12 +239,21 @@
 	buf_append(out, records->data, records->len);
 }
 
+/* Returns a copy, which the caller frees, or NULL if @o is no string. */
+static char *copy_text(const msgpack_object *o)
+{
+	if (o->type != MSGPACK_OBJECT_STR)
+		return NULL;
+	return strndup(o->via.str.ptr, o->via.str.size);
+}
+
 static bool replay_row(const msgpack_object *o, struct cell *cell)
 {
 	const msgpack_object *f = o->via.array.ptr;
 	char subject[CELL_NAME_MAX];
-	char detail[CELL_PAYLOAD_MAX];
+	char *detail = NULL;
 	struct cell_record record = { 0 };
+	bool ok = false;
 	uint32_t kind;
 	uint32_t end;
 
@@ -259,7 +268,10 @@
 						   : RECORD_FIELDS) ||
 	    !get_text(&f[1], subject, sizeof(subject)) ||
 	    !mp_get_u64(&f[2], &record.run) || !mp_get_u32(&f[3], &end) ||
-	    end >= CELL_ENDS || !get_text(&f[4], detail, sizeof(detail)))
+	    end >= CELL_ENDS)
+		return false;
+	detail = copy_text(&f[4]);
+	if (!detail)
 		return false;
 	record.kind = (enum cell_record_kind)kind;
 	record.end = (enum cell_end)end;
@@ -269,22 +281,31 @@
 	record.checkpoint = detail;
 	record.addr = detail;
 	if (kind == CELL_RECORD_CRASH && !unpack_crash(f, detail, &record))
-		return false;
+		goto out;
 	cell_replay(cell, &record);
-	return true;
+	ok = true;
+out:
+	free(detail);
+	return ok;
 }
 
-/* Applies a batch to @cell; returns false if a record is malformed. */
+/*
+ * Applies a batch to @cell. Returns false if a record is malformed; the others
+ * are applied.
+ */
 bool record_replay_batch(const char *data, size_t len, struct cell *cell)
 {
 	msgpack_unpacked unpacked;
+	const msgpack_object_array *rows = &unpacked.data.via.array;
+	bool readable;
 	bool ok;
 
 	msgpack_unpacked_init(&unpacked);
-	ok = unpack_object(&unpacked, data, len) &&
-	     unpacked.data.type == MSGPACK_OBJECT_ARRAY;
-	for (uint32_t i = 0; ok && i < unpacked.data.via.array.size; i++)
-		ok = replay_row(&unpacked.data.via.array.ptr[i], cell);
+	readable = unpack_object(&unpacked, data, len) &&
+		   unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+	ok = readable;
+	for (uint32_t i = 0; readable && i < rows->size; i++)
+		ok = replay_row(&rows->ptr[i], cell) && ok;
 	msgpack_unpacked_destroy(&unpacked);
 	return ok;
 }
--- a/lib/cell/spec.h
+++ b/lib/cell/spec.h
@@ -20,6 +20,9 @@
 #define CELL_TASKS_MAX 4096   /* tasks of a step */
 #define CELL_PAYLOAD_MAX 4096 /* bytes of a payload */
 
+/* Bytes of a checkpoint, which is stored with the end of its run. */
+#define CELL_CHECKPOINT_MAX 65536
+
 struct cell_res {
 	uint32_t cpu_milli; /* thousandths of a core */
 	uint32_t mem_mb;
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -772,6 +772,74 @@
 	buf_free(&known);
 }
 
+namespace
+{
+
+/* Encodes ends of "j.0.0.0" and "j.0.0.1"; the first saved @checkpoint. */
+struct buf two_ends(const std::string &checkpoint)
+{
+	struct buf records = {};
+	struct buf batch = {};
+	struct cell_record r = {};
+
+	r.kind = CELL_RECORD_END;
+	r.task = "j.0.0.0";
+	r.run = 11;
+	r.end = CELL_END_STOPPED;
+	r.checkpoint = checkpoint.c_str();
+	record_pack(&r, &records);
+	r.task = "j.0.0.1";
+	r.end = CELL_END_DONE;
+	r.checkpoint = "";
+	record_pack(&r, &records);
+	record_pack_batch(&records, 2, &batch);
+	buf_free(&records);
+	return batch;
+}
+
+} // namespace
+
+/* Guards against done tasks that run again as a checkpoint is long. */
+TEST(Record, LongCheckpointIsReadBack)
+{
+	for (size_t len : { 4095, 4096, 5000, 65535 }) {
+		CellFixture g(9);
+		std::string checkpoint(len, 'c');
+		struct buf batch = two_ends(checkpoint);
+
+		g.queue("q", 0, 2);
+		g.submit(CellFixture::job("j", "q", 2, 1000), false);
+		EXPECT_TRUE(record_replay_batch(batch.data, batch.len, g.cell));
+		cell_replay_done(g.cell, g.now);
+		g.minions(1, 8000);
+		ASSERT_EQ(g.starts.size(), 1U) << len;
+		EXPECT_EQ(g.starts[0].task, "j.0.0.0");
+		EXPECT_EQ(g.starts[0].checkpoint, checkpoint);
+		buf_free(&batch);
+	}
+}
+
+/* Guards against one odd record that hides the rest of its batch. */
+TEST(Record, MalformedRecordLosesOnlyItself)
+{
+	CellFixture g(9);
+	struct buf ends = two_ends("");
+	struct buf batch = {};
+
+	/* The first of three records has too few fields. */
+	buf_append(&batch, "\x93\x92\x00\xa1x", 5);
+	buf_append(&batch, ends.data + 1, ends.len - 1);
+	g.queue("q", 0, 2);
+	g.submit(CellFixture::job("j", "q", 2, 1000), false);
+	EXPECT_FALSE(record_replay_batch(batch.data, batch.len, g.cell));
+	cell_replay_done(g.cell, g.now);
+	g.minions(1, 8000);
+	ASSERT_EQ(g.starts.size(), 1U);
+	EXPECT_EQ(g.starts[0].task, "j.0.0.0");
+	buf_free(&ends);
+	buf_free(&batch);
+}
+
 /* Guards against a task of a wide step that crashes four minions before it is
  * known. */
 TEST(Crash, TaskOfAWideStepIsGivenUpAfterThreeCrashes)
--- a/tests/decode_test.cc
+++ b/tests/decode_test.cc
@@ -131,6 +131,31 @@
 	EXPECT_EQ(c.config.queues[0].timeout_ms, UINT32_MAX);
 }
 
+/* Guards against a long checkpoint that keeps the end of its run unrecorded. */
+TEST(Decode, CheckpointThatCannotBeStoredIsPassedOver)
+{
+	for (size_t len : { CELL_CHECKPOINT_MAX, CELL_CHECKPOINT_MAX + 1 }) {
+		std::string text(len, 'c');
+		std::string body =
+			R"({"clock_ms":1,"born":1,"running":[["j.0.0.0",1,")" +
+			text + R"(",5]],"ended":[[1,"j.0.0.1",1,"done",")" +
+			text + R"("]]})";
+		struct cell_report report;
+		void *memory;
+
+		ASSERT_TRUE(pf_decode_report(body.data(), body.size(), &report,
+					     &memory));
+		ASSERT_EQ(report.running_count, 1U);
+		ASSERT_EQ(report.ended_count, 1U);
+		EXPECT_EQ(report.ended[0].end, CELL_END_DONE);
+		EXPECT_EQ(report.ended[0].checkpoint != nullptr,
+			  len <= CELL_CHECKPOINT_MAX);
+		EXPECT_EQ(report.running[0].checkpoint != nullptr,
+			  len <= CELL_CHECKPOINT_MAX);
+		pf_report_free(&report, memory);
+	}
+}
+
 /*
  * Guards against a process that ends, or uses a minion that is none, by an odd
  * entry of another writer.
