Delete expired keys faster while many wait

Seen: 70 keys a second were deleted whatever number waited, fewer than the jobs that end on busy deployments.

A transaction takes 32 entries, so with its one condition it deletes 31 keys instead of 14. While more than 500 keys wait there are 20 transactions a second instead of 5, a twentieth of the 400 writing calls: up to 620 keys a second at less than half of the calls for each key. Otherwise the rate stays as it was. The queue is also moved to the front of its array while it does not run empty.

The test queues 500 keys a second for 60 s. It failed first: 4,191 of 30,000 were deleted. Now the backlog stays within two seconds of keys, and the calls within 20 a second.

--- a/jaycelld/gc.c
+++ b/jaycelld/gc.c
@@ -8,11 +8,14 @@
 
 #include "celld.h"
 
-/* Keys per transaction, which also has a condition on the holder key. */
-#define DELETES_MAX (PF_TXN_MAX - 2)
 #define TXN_TIMEOUT_MS 700
-/* Rate limit, to leave the request rate of the store to other calls. */
+/*
+ * Rate limits, to leave the request rate of the store to other calls: while
+ * more than BACKLOG_KEYS wait, a twentieth of the 400 calls a second.
+ */
 #define TXN_INTERVAL_MS 200
+#define BUSY_TXN_INTERVAL_MS 50
+#define BACKLOG_KEYS 500
 
 struct gc {
 	struct celld *d;
@@ -63,6 +66,12 @@
 /* Queues @key, which is copied, for deletion. */
 void gc_delete_later(struct gc *gc, const char *key)
 {
+	if (gc->head > BACKLOG_KEYS && gc->head > gc->count - gc->head) {
+		gc->count -= gc->head;
+		memmove(gc->keys, gc->keys + gc->head,
+			gc->count * sizeof(*gc->keys));
+		gc->head = 0;
+	}
 	if (gc->count == gc->capacity) {
 		gc->capacity = gc->capacity ? gc->capacity * 2 : 64;
 		gc->keys = xrealloc(gc->keys, gc->capacity * sizeof(*gc->keys));
@@ -101,10 +110,12 @@
 
 	if (gc->sent || gc->head == gc->count || now_ms < gc->next_ms)
 		return;
-	gc->next_ms = now_ms + TXN_INTERVAL_MS;
+	gc->next_ms = now_ms + (gc->count - gc->head > BACKLOG_KEYS
+					? BUSY_TXN_INTERVAL_MS
+					: TXN_INTERVAL_MS);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = gc->token };
-	while (txn.delete_count < DELETES_MAX &&
+	while (txn.delete_count < PF_DELETES_MAX &&
 	       gc->head + txn.delete_count < gc->count) {
 		txn.deletes[txn.delete_count] =
 			gc->keys[gc->head + txn.delete_count];
--- a/tests/gc_test.cc
+++ b/tests/gc_test.cc
@@ -72,6 +72,30 @@
 
 } /* extern "C" */
 
+/* Guards against expired jobs that pile up, and against calls without bound. */
+TEST(Gc, QueueDrainsAtTheRatesOfTheSites)
+{
+	const uint32_t seconds = 60;
+	const uint32_t jobs_per_s = 500;
+	const uint32_t writes_per_s = 400;
+	const uint32_t txn_entries_max = 32;
+	Collector c;
+	uint32_t calls = 0;
+
+	for (uint32_t ms = 10; ms <= seconds * 1000; ms += 10) {
+		for (uint32_t i = 0; i < jobs_per_s / 100; i++)
+			gc_delete_later(c.gc, "jay/job/a");
+		gc_tick(c.gc, ms);
+		if (commits.empty())
+			continue;
+		calls++;
+		ASSERT_LE(commits[0].keys.size() + 1, txn_entries_max);
+		respond(PF_OK, ms);
+	}
+	EXPECT_GE(c.deleted.size() + 2 * jobs_per_s, seconds * jobs_per_s);
+	EXPECT_LE(calls, seconds * writes_per_s / 20);
+}
+
 /* Guards against a job that is forgotten while the store may hold it. */
 TEST(Gc, KeyCountsAsDeletedOnlyWithTheResponse)
 {
