--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -64,7 +64,8 @@
 	uint32_t tasks_active; /* tasks with a run */
 	uint64_t *gang_failed; /* gang runs with a failed member */
 	uint32_t gang_failed_count;
-	uint32_t crashes; /* of all tasks */
+	uint32_t most_fails; /* failed attempts, of the task with the most */
+	uint32_t crashes;    /* of all tasks */
 	uint64_t unblocked_ms;
 	bool unblocked; /* all steps it depends on are done */
 	bool in_ready_list;
@@ -104,6 +105,16 @@
 	UT_hash_handle hh;
 };
 
+/* A job that has ended and whose status is no longer kept. */
+struct cell_expired {
+	char id[CELL_ID_MAX];
+	enum cell_job_state state;
+	bool deleted;		   /* from the store */
+	uint64_t revision;	   /* of the store, of its deletion */
+	struct cell_expired *next; /* while it is being freed */
+	UT_hash_handle hh;
+};
+
 /* Pace of a run, in percent of its full speed. */
 #define CELL_PACE_FULL 100
 #define CELL_PACE_UNKNOWN 255
@@ -279,7 +290,8 @@
 	bool replaying;
 	bool dirty; /* a scheduling pass is needed */
 	uint64_t next_run;
-	struct cell_job *jobs; /* by id */
+	struct cell_job *jobs;	      /* by id */
+	struct cell_expired *expired; /* by id */
 	uint32_t live_jobs;
 	uint32_t recurring_jobs;
 	struct cell_minion **minions;
@@ -347,6 +359,8 @@
 bool cell_end_apply(struct cell *cell, const struct cell_ended *end,
 		    uint32_t minion, uint64_t now_ms);
 void cell_job_fail(struct cell *cell, struct cell_job *job, uint64_t now_ms);
+bool cell_step_exhausted(struct cell *cell, struct cell_step *step,
+			 const struct cell_queue_spec *queue, uint64_t now_ms);
 void cell_job_stop_runs(struct cell *cell, struct cell_job *job,
 			uint64_t now_ms);
 void cell_gang_abort(struct cell *cell, struct cell_step *step, uint64_t run,
@@ -354,6 +368,14 @@
 void cell_event(struct cell *cell, const struct cell_event *event);
 void cell_grow(void **items, uint32_t *capacity, uint32_t count, size_t size);
 
+/* expired.c */
+void cell_expired_add(struct cell *cell, const struct cell_job *job);
+void cell_expired_snapshot(const struct cell *cell,
+			   void (*emit)(void *ctx,
+					const struct cell_record *record),
+			   void *ctx);
+void cell_expired_free(struct cell *cell);
+
 /* cell.c */
 const struct cell_queue_spec *cell_queue(const struct cell *cell,
 					 const char *name);
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -260,7 +260,7 @@
  * Adds a job that is already in the store, and takes ownership of what @spec
  * points to. @is_new means that no other holder can know the job; otherwise an
  * earlier holder may have started it. Returns false, and releases @spec, if the
- * job is a duplicate.
+ * job is a duplicate or has expired.
  */
 bool cell_submit(struct cell *cell, struct cell_job_spec *spec, bool is_new,
 		 uint64_t unix_ms, uint64_t now_ms)
@@ -269,7 +269,7 @@
 	struct cell_job *job = cell_job_find(cell, spec->id);
 
 	cell->unix_ms = unix_ms;
-	if (job) {
+	if (job || cell_job_expired(cell, spec->id)) {
 		cell_job_spec_free(spec);
 		return false;
 	}
@@ -639,6 +639,8 @@
 	const struct cell_queue_spec *queue = NULL;
 	uint32_t fails = count_failed_attempt(step, task, run);
 
+	if (fails > step->most_fails)
+		step->most_fails = fails;
 	task->failed_on = minion;
 	if (step->spec->long_running)
 		return;
@@ -648,6 +650,36 @@
 		set_final_state(cell, step->job, CELL_JOB_FAILED, now_ms);
 }
 
+static uint32_t failed_attempts(const struct cell_step *step,
+				const struct cell_task *task)
+{
+	return step->spec->gang ? step->gang_failed_count : task->fails;
+}
+
+/*
+ * Fails the job if a task of the step that waits for a start has no attempts
+ * left, and returns true. Its latest failure may have come while the queue was
+ * missing from the configuration, or had a higher limit.
+ */
+bool cell_step_exhausted(struct cell *cell, struct cell_step *step,
+			 const struct cell_queue_spec *queue, uint64_t now_ms)
+{
+	if (!step->most_fails || step->most_fails < queue->max_attempts ||
+	    step->spec->long_running ||
+	    step->job->final_state != CELL_JOB_UNKNOWN)
+		return false;
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const struct cell_task *task = &step->tasks[i];
+
+		if (task->state != CELL_TASK_READY ||
+		    failed_attempts(step, task) < queue->max_attempts)
+			continue;
+		cell_job_fail(cell, step->job, now_ms);
+		return true;
+	}
+	return false;
+}
+
 /* Detaches a run from its task, which becomes ready unless it is done. */
 void cell_task_release(struct cell *cell, const char *task, uint64_t run,
 		       uint64_t now_ms)
@@ -810,9 +842,11 @@
 		if (!job->ended_ms ||
 		    now_ms <= job->ended_ms + cell->settings.ended_job_ttl_ms)
 			continue;
-		if (cell->owner->ops->job_expired)
+		if (cell->owner->ops->job_expired) {
+			cell_expired_add(cell, job);
 			cell->owner->ops->job_expired(cell->owner,
 						      job->spec.id);
+		}
 		job_free(cell, job);
 	}
 }
