Do not discard the end of an unknown job before the jobs have been read

Cause: a minion lists an end of a job that the holder does not know, as its predecessor got to know the job in its last moments. After 5 s the job counted as one that does not exist, and the end was acknowledged, so that the minion forgot it. With the store away for so long the job had not been looked for; it was found later, and its done task ran again.

The time counts only with a read of all jobs that began after the end was listed. The same for runs of unknown jobs, which are stopped then.

Takeover.EndOfAnUnknownJobIsKeptUntilTheJobsHaveBeenRead failed before (one start of the done task) and passes now.

--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -198,7 +198,7 @@
 	}
 	h->cursor[0] = '\0';
 	h->jobs_revision = reply->read_revision;
-	cell_on_jobs_read(h->cell, h->jobs_revision);
+	cell_on_jobs_read(h->cell, h->jobs_revision, h->jobs_sent_ms);
 }
 
 static void on_jobs(void *ctx, const struct pf_reply *reply)
@@ -218,13 +218,15 @@
 	holder_add_jobs(h, reply);
 	if (reply->read_revision > h->jobs_revision)
 		h->jobs_revision = reply->read_revision;
-	cell_on_jobs_read(h->cell, h->jobs_revision);
+	cell_on_jobs_read(h->cell, h->jobs_revision, h->jobs_sent_ms);
 }
 
 /* Reads jobs that were stored without a notification to this holder. */
 static void poll_jobs(struct holder *h, uint64_t now)
 {
 	h->jobs_polling = true;
+	if (!h->cursor[0])
+		h->jobs_sent_ms = now;
 	h->jobs_poll_ms = now + (links_lost_followers(h->d->links, now)
 					 ? JOBS_POLL_FAST_MS
 					 : JOBS_POLL_MS);
--- a/jaycelld/holder_int.h
+++ b/jaycelld/holder_int.h
@@ -55,6 +55,7 @@
 	char cursor[JOURNAL_KEY_MAX * 4]; /* last key of the page read */
 	uint64_t jobs_revision;		  /* watch position; 0: list again */
 	bool jobs_polling;
+	uint64_t jobs_sent_ms; /* when the latest read of the jobs began */
 	uint64_t jobs_poll_ms;
 	struct listing *listing;
 	struct journal_entry *queue;
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -276,7 +276,7 @@
 const char *cell_job_state_name(enum cell_job_state state);
 bool cell_job_expired(const struct cell *cell, const char *id);
 void cell_on_job_deleted(struct cell *cell, const char *id, uint64_t revision);
-void cell_on_jobs_read(struct cell *cell, uint64_t revision);
+void cell_on_jobs_read(struct cell *cell, uint64_t revision, uint64_t sent_ms);
 uint32_t cell_pending_jobs(const struct cell *cell, const char *queue);
 bool cell_end_parse(const char *text, enum cell_end *end);
 const char *cell_end_name(enum cell_end end);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -292,6 +292,7 @@
 	uint64_t next_run;
 	struct cell_job *jobs;	      /* by id */
 	struct cell_expired *expired; /* by id */
+	uint64_t jobs_read_ms;	      /* start of the latest read of all */
 	uint32_t live_jobs;
 	uint32_t recurring_jobs;
 	struct cell_minion **minions;
--- a/lib/cell/expired.c
+++ b/lib/cell/expired.c
@@ -57,15 +57,17 @@
 }
 
 /*
- * Handles that all jobs stored up to that revision have been read. Expired jobs
- * that were deleted by then cannot be read again, and are forgotten.
+ * Handles that all jobs stored up to that revision have been read, by calls
+ * from @sent_ms on. Expired jobs that were deleted by then cannot be read
+ * again, and are forgotten.
  */
-void cell_on_jobs_read(struct cell *cell, uint64_t revision)
+void cell_on_jobs_read(struct cell *cell, uint64_t revision, uint64_t sent_ms)
 {
 	struct cell_expired *forgotten = NULL;
 	struct cell_expired *e;
 	struct cell_expired *tmp;
 
+	cell->jobs_read_ms = sent_ms;
 	HASH_ITER(hh, cell->expired, e, tmp)
 	{
 		if (!e->deleted || e->revision > revision)
@@ -99,5 +101,5 @@
 
 	HASH_ITER(hh, cell->expired, e, tmp)
 	e->deleted = true;
-	cell_on_jobs_read(cell, UINT64_MAX);
+	cell_on_jobs_read(cell, UINT64_MAX, 0);
 }
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -19,7 +19,10 @@
 #define UNLISTED_TIMEOUT_MS 3000
 /* Interval between two attempts to stop a run, in ms. */
 #define STOP_RETRY_MS 300
-/* A job that is unknown for this long no longer exists, in ms. */
+/*
+ * A job that is still unknown after this time and after a read of all jobs no
+ * longer exists, in ms.
+ */
 #define UNKNOWN_JOB_TIMEOUT_MS 5000
 /* Minimum interval between two walks over all minions, in ms. */
 #define MINIONS_TICK_MS 4
@@ -483,6 +486,14 @@
 			now_ms);
 }
 
+/* Returns true if a job that was unknown at @since_ms no longer exists. */
+static bool job_is_gone(const struct cell *cell, uint64_t since_ms,
+			uint64_t now_ms)
+{
+	return now_ms > since_ms + UNKNOWN_JOB_TIMEOUT_MS &&
+	       cell->jobs_read_ms > since_ms;
+}
+
 /*
  * Handles the new ends in order. The end of a job that is not known yet blocks
  * those after it: once acknowledged, the minion would discard it. Returns true
@@ -499,7 +510,7 @@
 		if (!cell_step_spec_find(cell, end->task)) {
 			if (!m->unknown_job_ms)
 				m->unknown_job_ms = now_ms;
-			if (now_ms < m->unknown_job_ms + UNKNOWN_JOB_TIMEOUT_MS)
+			if (!job_is_gone(cell, m->unknown_job_ms, now_ms))
 				return false;
 		}
 		m->unknown_job_ms = 0;
@@ -605,8 +616,7 @@
 	} else {
 		run->in_report = true;
 		run->load = row->load;
-		if (run->job_unknown &&
-		    now_ms > run->sent_ms + UNKNOWN_JOB_TIMEOUT_MS)
+		if (run->job_unknown && job_is_gone(cell, run->sent_ms, now_ms))
 			cell_run_stop(cell, m, run, now_ms);
 		if (!run->acked_ms)
 			run->acked_ms = now_ms;
--- a/tests/expired_test.cc
+++ b/tests/expired_test.cc
@@ -91,14 +91,14 @@
 {
 	ExpiredJob f;
 
-	cell_on_jobs_read(f.cell, 70);
+	cell_on_jobs_read(f.cell, 70, f.now);
 	EXPECT_TRUE(cell_job_expired(f.cell, "j"));
 	cell_on_job_deleted(f.cell, "j", 80);
-	cell_on_jobs_read(f.cell, 79);
+	cell_on_jobs_read(f.cell, 79, f.now);
 	f.read_again();
 	EXPECT_EQ(f.starts.size(), 1U);
 	EXPECT_EQ(f.snapshot_states().size(), 1U);
-	cell_on_jobs_read(f.cell, 80);
+	cell_on_jobs_read(f.cell, 80, f.now);
 	EXPECT_FALSE(cell_job_expired(f.cell, "j"));
 	EXPECT_EQ(f.snapshot_states().size(), 0U);
 }
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -136,3 +136,32 @@
 	f.tick(10);
 	EXPECT_EQ(f.starts.size(), 1U);
 }
+
+TEST(Takeover, EndOfAnUnknownJobIsKeptUntilTheJobsHaveBeenRead)
+{
+	CellFixture f;
+	std::vector<End> ends = { { 1, "j.0.0.0", 11, CELL_END_DONE, "" },
+				  { 2, "k.0.0.0", 12, CELL_END_DONE, "" } };
+	struct cell_poll poll;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	for (int i = 0; i < 60; i++) {
+		f.report(0, "m0", {}, ends);
+		f.tick(100);
+	}
+	f.submit(CellFixture::job("j", "q", 1, 1000), false);
+	f.report(0, "m0", {}, ends);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 0U);
+	cell_on_jobs_read(f.cell, 1, f.now);
+	for (int i = 0; i < 60; i++) {
+		f.report(0, "m0", {}, ends);
+		f.durable();
+		f.tick(100);
+	}
+	ASSERT_TRUE(cell_poll_request(f.cell, 0, &poll, f.now));
+	EXPECT_EQ(poll.observed, 2U);
+}
