Continue the watch of the jobs from the first page of a list

Cause: after its history of jobs was gone, the holder listed them again and then watched from the revision of the last page. A job that was stored meanwhile before the key of a page already read was in neither, unless the daemon that stored it could tell the holder.

The watch continues from the revision of the first page, as in recovery and in the list of minions.

--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -189,6 +189,8 @@
 	h->jobs_polling = false;
 	if (reply->status != PF_OK)
 		return;
+	if (!h->cursor[0])
+		h->jobs_first_revision = reply->read_revision;
 	holder_add_jobs(h, reply);
 	if (reply->more && reply->count) {
 		snprintf(h->cursor, sizeof(h->cursor), "%s",
@@ -197,7 +199,7 @@
 		return;
 	}
 	h->cursor[0] = '\0';
-	h->jobs_revision = reply->read_revision;
+	h->jobs_revision = h->jobs_first_revision;
 	cell_on_jobs_read(h->cell, h->jobs_revision, h->jobs_sent_ms);
 }
 
--- a/jaycelld/holder_int.h
+++ b/jaycelld/holder_int.h
@@ -54,6 +54,7 @@
 	uint32_t calls_in_flight;
 	char cursor[JOURNAL_KEY_MAX * 4]; /* last key of the page read */
 	uint64_t jobs_revision;		  /* watch position; 0: list again */
+	uint64_t jobs_first_revision;	  /* of the first page being listed */
 	bool jobs_polling;
 	uint64_t jobs_sent_ms; /* when the latest read of the jobs began */
 	uint64_t jobs_poll_ms;
