Remember the former holder over a claim without an answer

A claim may succeed without its answer arriving. The daemon then finds itself named as the holder of a term that it did not begin, and claims again. The former holder of that second claim is itself, so that the one that really was before it did not count as a missing daemon: without the store, the followers confirmed the term although that one might have taken over again. The address of the former holder is now kept unless it is that of the daemon itself.

Links.FormerHolderCountsAfterARepeatedClaim failed before: the term was valid 2 s into an outage with the former holder never connected.

--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -619,12 +619,12 @@
 }
 
 /*
- * A term of this daemon begins. The holder before, at address @former, counts
- * as missing until it connects.
+ * A term of this daemon begins. The holder before, at address @former if there
+ * was one, counts as missing until it connects.
  */
 void links_expect(struct links *l, const char *former)
 {
-	if (!former[0] || !strcmp(former, l->d->conf.peers_address))
+	if (!former[0])
 		return;
 	for (uint32_t i = 0; i < l->follower_count; i++) {
 		if (l->followers[i].link &&
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -54,7 +54,7 @@
 	bool lease_live;      /* the key under the lease of the holder exists */
 	bool released;	      /* the holder announced the end of its term */
 	char claim_nonce[24]; /* of the latest claim */
-	char former[CELL_ADDR_MAX]; /* the holder at that time, empty: none */
+	char former[CELL_ADDR_MAX]; /* other holder before it, or empty */
 	bool claiming;
 	uint64_t claim_due_ms; /* 0: none is due */
 	uint64_t claim_sent_ms;
@@ -382,7 +382,9 @@
 				       .len = value.len };
 	ev("claim", "former=%s term=%llu why=\"%s\"",
 	   t->holder[0] ? t->holder : "-", (unsigned long long)t->term, why);
-	snprintf(t->former, sizeof(t->former), "%s", t->addr);
+	/* An earlier claim without an answer may have succeeded. */
+	if (strcmp(t->addr, t->d->conf.peers_address) != 0)
+		snprintf(t->former, sizeof(t->former), "%s", t->addr);
 	t->claiming = true;
 	t->claim_sent_ms = now;
 	pf_commit(t->d->store, &txn, CALL_TIMEOUT_MS, on_claim, t);
--- a/tests/links_test.cc
+++ b/tests/links_test.cc
@@ -183,7 +183,7 @@
 {
 
 void answer(std::vector<Call> *calls, uint64_t revision,
-	    const std::string &value)
+	    const std::string &value, enum pf_status status = PF_OK)
 {
 	std::vector<Call> due;
 	struct pf_item item = {};
@@ -193,7 +193,7 @@
 	item.value = value.c_str();
 	item.value_len = value.size();
 	item.revision = revision;
-	reply.status = PF_OK;
+	reply.status = status;
 	reply.revision = revision;
 	reply.read_revision = revision;
 	reply.count = value.empty() ? 0 : 1;
@@ -297,9 +297,14 @@
 	void lead(Daemon *x, const std::string &former)
 	{
 		answer(&x->ranges, TERM - 1, former);
+		run_until_claim(x);
+		answer(&x->commits, TERM, "");
+	}
+
+	void run_until_claim(const Daemon *x)
+	{
 		for (int i = 0; i < 300 && x->commits.empty(); i++)
 			run(10);
-		answer(&x->commits, TERM, "");
 	}
 
 	void follow(Daemon *x, const Daemon *holder)
@@ -417,6 +422,28 @@
 	EXPECT_FALSE(c.valid());
 }
 
+/* Guards against a predecessor that is forgotten as the claim had no answer. */
+TEST(Links, FormerHolderCountsAfterARepeatedClaim)
+{
+	Cell c;
+	Daemon *holder = c.add("d1");
+	Daemon *follower = c.add("d2");
+
+	answer(&holder->ranges, TERM - 2, "d0 127.0.0.1:1 nonce");
+	c.run_until_claim(holder);
+	answer(&holder->commits, TERM - 1,
+	       "d1 " + std::string(holder->d.conf.peers_address) + " other",
+	       PF_CONFLICT);
+	c.run_until_claim(holder);
+	answer(&holder->commits, TERM, "");
+	c.follow(follower, holder);
+	c.run(3000);
+	ASSERT_EQ(links_followers(holder->d.links), 1U);
+	c.store_down();
+	c.run(2000);
+	EXPECT_FALSE(terms_check(holder->d.terms, loop_now_ms()));
+}
+
 /* Guards against an outage that stops work because of a change of the holder.
  */
 TEST(Links, FormerHolderThatHasConnectedIsNotMissing)
