Count every kind of task that runs twice in the platform test double

The stand-in rejected as old any run below one that had ended at any minion. The protocol rejects it only at the minion where the other run was stopped or ended, so a second run elsewhere with a lower number was refused instead of counted. It also took an end as observed as soon as it was listed, and dropped it when the lease lapsed: a start after an end that is observed later was counted only while the end was pending, and also if the end was never observed.

Now each minion has its own highest ended run of a task, which a new life forgets. Starts and ends are kept in one order; a start counts once an end before it is observed, then or later, unless the lease lapsed between. The same holds for starts beyond max_attempts. A lapsed lease is applied before each request, since the tick may be late. Starts that are rejected as old extend the lease, and each lease is limited to the maximum. The soak also fails a job that starts a task more than 1 s after it was shown as completed.

Entries lapse after three heartbeat intervals of silence and are back within 1.8 s; the faults "cut" (a minion does not reach the store) and "away_ms" (the store drops all calls, with or without lapsed leases) are new. A page is limited to 1 MB and a value to 1,048,576 bytes.

Not counted: steps with speculative copies, which neither the process tests nor the soak submit.

--- a/fakes/fake.c
+++ b/fakes/fake.c
@@ -157,6 +157,15 @@
 	drop_request(port, handle, req);
 }
 
+/* Closes the connection of request @id without an answer. */
+void fake_drop(struct fake *fake, uint64_t id)
+{
+	struct call *call = call_find(fake, id);
+
+	if (call)
+		call_drop(call);
+}
+
 static void on_unanswered_timeout(struct timer *timer)
 {
 	call_drop(timer->ctx);
--- a/fakes/fake.h
+++ b/fakes/fake.h
@@ -52,6 +52,7 @@
 
 bool fake_fails(const struct fake *fake, uint32_t port);
 void fake_may_lose_answer(struct fake *fake, uint64_t id);
+void fake_drop(struct fake *fake, uint64_t id);
 void fake_answer(struct fake *fake, uint64_t id, int status,
 		 const char *headers, const void *body, size_t len);
 void fake_answer_json(struct fake *fake, uint64_t id, int status,
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -17,6 +17,7 @@
 void platform_kv_holder(struct platform_kv *kv,
 			const struct fake_request *request);
 bool platform_kv_fault(struct platform_kv *kv, const json_t *change);
+bool platform_kv_is_away(const struct platform_kv *kv);
 json_t *platform_kv_observe(const struct platform_kv *kv);
 
 /* platform_minion.c: minions, each on a port, and the advice service. */
--- a/fakes/platform_kv.c
+++ b/fakes/platform_kv.c
@@ -13,7 +13,12 @@
 #include "platform/text.h"
 
 #define KEY_MAX 256
+/* Limits of a page of a range, and of a value (value_bytes). */
 #define PAGE_ITEMS 500
+#define PAGE_BYTES 1000000
+#define VALUE_MAX_BYTES 1048576
+#define VALUE_MAX_BASE64 ((VALUE_MAX_BYTES + 2) / 3 * 4)
+#define ENTRY_PREFIX "servers/"
 #define LEASE_TICK_MS 50
 #define HISTORY_MAX 20000
 #define WAIT_MAX_MS 30000
@@ -64,6 +69,7 @@
 	uint64_t calls;
 	uint64_t commits;
 	uint64_t conflicts;
+	uint64_t away_until;  /* calls before are dropped */
 	uint32_t late_writes; /* transactions left to delay */
 	uint32_t late_ms;
 };
@@ -289,6 +295,7 @@
 	char prefix[KEY_MAX];
 	char after[KEY_MAX];
 	json_t *items = json_array();
+	size_t bytes = 0;
 	bool more = false;
 
 	get_param(request, "prefix", prefix);
@@ -298,7 +305,9 @@
 		if (!has_prefix(item->key, prefix) ||
 		    (after[0] && strcmp(item->key, after) <= 0))
 			continue;
-		if (json_array_size(items) == PAGE_ITEMS) {
+		bytes += strlen(item->key) + strlen(item->value);
+		if (json_array_size(items) == PAGE_ITEMS ||
+		    (bytes > PAGE_BYTES && json_array_size(items))) {
 			more = true;
 			break;
 		}
@@ -446,9 +455,14 @@
 	}
 
 	for (size_t i = 0; i < json_array_size(puts); i++) {
-		const json_t *lease =
-			json_object_get(json_array_get(puts, i), "lease");
+		const json_t *row = json_array_get(puts, i);
+		const json_t *lease = json_object_get(row, "lease");
 
+		if (strlen(get_string(row, "value")) > VALUE_MAX_BASE64) {
+			fake_answer_error(kv->fake, request->id, 400,
+					  "value too large");
+			goto out;
+		}
 		if (!lease_exists(kv, (uint64_t)json_integer_value(lease))) {
 			fake_answer_error(kv->fake, request->id, 404,
 					  "no such lease");
@@ -548,6 +562,11 @@
 {
 	char key[KEY_MAX];
 
+	if (request->http.body_len > VALUE_MAX_BYTES) {
+		fake_answer_error(kv->fake, request->id, 400,
+				  "value too large");
+		return;
+	}
 	get_param(request, "key", key);
 	put_bytes(kv, key, request->http.body, request->http.body_len);
 	fake_answer_json(
@@ -582,18 +601,67 @@
 		watch_finish(kv->watches, json_array());
 }
 
+/* Returns true while the store is away. */
+bool platform_kv_is_away(const struct platform_kv *kv)
+{
+	return loop_now_ms() < kv->away_until;
+}
+
+/* Removes all leases with their keys, and the entries of the minions. */
+static void lapse_all(struct platform_kv *kv)
+{
+	struct item *item;
+	struct item *tmp;
+
+	while (kv->lease_count)
+		lease_expire(kv, 0);
+	HASH_ITER(hh, kv->items, item, tmp)
+	{
+		if (has_prefix(item->key, ENTRY_PREFIX))
+			platform_kv_remove(kv, item->key);
+	}
+}
+
+/*
+ * Ends the open calls, and drops all calls for @for_ms. Leases lapse or last
+ * for as long again.
+ */
+static void go_away(struct platform_kv *kv, uint64_t for_ms, bool lapse)
+{
+	while (kv->watches) {
+		struct watch *watch = kv->watches;
+
+		kv->watches = watch->next;
+		timer_stop(kv->loop, &watch->timer);
+		fake_drop(kv->fake, watch->call);
+		free(watch);
+	}
+	kv->away_until = loop_now_ms() + for_ms;
+	if (lapse)
+		lapse_all(kv);
+	for (uint32_t i = 0; i < kv->lease_count; i++)
+		kv->leases[i].expires_ms += for_ms;
+}
+
 /*
- * Injects a fault: {"compact": true} or {"late_writes": N, "late_ms": M}.
- * Returns false if @change names none of these.
+ * Injects a fault: {"compact": true}, {"away_ms": N, "lapse": BOOL} or
+ * {"late_writes": N, "late_ms": M}. Returns false if @change names none of
+ * these.
  */
 bool platform_kv_fault(struct platform_kv *kv, const json_t *change)
 {
 	const json_t *late = json_object_get(change, "late_writes");
+	const json_t *away = json_object_get(change, "away_ms");
 
 	if (json_is_true(json_object_get(change, "compact"))) {
 		compact(kv);
 		return true;
 	}
+	if (json_is_integer(away)) {
+		go_away(kv, (uint64_t)json_integer_value(away),
+			json_is_true(json_object_get(change, "lapse")));
+		return true;
+	}
 	if (!json_is_integer(late))
 		return false;
 	kv->late_writes = (uint32_t)json_integer_value(late);
@@ -609,7 +677,9 @@
 	const char *path = request->http.path;
 
 	kv->calls++;
-	if (!strcmp(path, "/kv-key"))
+	if (platform_kv_is_away(kv))
+		fake_drop(kv->fake, request->id);
+	else if (!strcmp(path, "/kv-key"))
 		handle_key(kv, request);
 	else if (!strcmp(path, "/kv-range"))
 		handle_range(kv, request);
--- a/fakes/platform_minion.c
+++ b/fakes/platform_minion.c
@@ -25,6 +25,11 @@
 #define TASK_CRASH_MS 1500
 #define MEM_MB 16000
 #define HEARTBEAT_MS 500
+/* An entry lapses after so many heartbeat intervals of silence. */
+#define ENTRY_HEARTBEATS 3
+/* After a failed heartbeat the next ones are spread over this time. */
+#define HEARTBEAT_RETRY_MIN_MS 100
+#define HEARTBEAT_RETRY_SPREAD_MS 1700
 #define LEASE_MAX_MS 6000
 #define GANG_TIMEOUT_MS 3000
 #define DEFAULT_RUN_MS 200
@@ -51,8 +56,16 @@
 	uint64_t number;
 	char task[CELL_TASK_MAX];
 	uint64_t run;
+	uint64_t order; /* see struct start */
 	const char *outcome;
-	bool discarded; /* the lease expired before it was reported */
+	bool discarded; /* the lease lapsed before it was observed */
+};
+
+/* The highest run of a task that a minion has stopped or ended. */
+struct floor {
+	char task[CELL_TASK_MAX];
+	uint64_t run;
+	UT_hash_handle hh;
 };
 
 struct minion {
@@ -64,6 +77,10 @@
 	uint64_t drain_until;
 	uint64_t fail_until; /* all runs started before then fail */
 	uint64_t hang_until; /* no run completes before then */
+	uint64_t cut_until;  /* its heartbeats do not reach the store */
+	uint64_t next_heartbeat_ms;
+	uint64_t entry_until; /* when the entry lapses, 0: there is none */
+	uint64_t sequence;
 	uint64_t token;
 	uint64_t lease_ms; /* expiry in loop time */
 	struct run *runs;
@@ -71,10 +88,30 @@
 	struct end *ends;
 	uint32_t end_count;
 	uint64_t next_end;
+	struct floor *floors;
 	uint64_t poll_call; /* pending long poll, 0: none */
 	uint64_t poll_until_ms;
 };
 
+/*
+ * A start of a task. Starts and ends are in one order, since an end may be
+ * observed after a later start, which is a violation all the same.
+ */
+struct start {
+	uint64_t order;
+	uint64_t run;
+	char minion[32];
+	uint64_t attempts; /* failures allowed, 0: any number */
+	bool after_done;   /* as noted */
+	bool over_budget;
+};
+
+/* An observed end that counts as completion or failure. */
+struct observation {
+	uint64_t order;
+	bool done;
+};
+
 /* Totals of a task over all minions. */
 struct tally {
 	char task[CELL_TASK_MAX];
@@ -82,11 +119,11 @@
 	uint32_t starts;
 	uint32_t done;
 	uint32_t failed;
-	/* As above, without ends discarded before they were reported. */
-	uint32_t done_observed;
-	uint32_t failed_observed;
-	uint64_t last_ended_run; /* highest stopped or ended run */
-	uint64_t ordered_ms;	 /* Unix time of the latest start request */
+	struct start *history;
+	uint32_t history_count;
+	struct observation *observations;
+	uint32_t observation_count;
+	uint64_t ordered_ms; /* Unix time of the latest start request */
 	UT_hash_handle hh;
 };
 
@@ -110,8 +147,7 @@
 	uint32_t count;
 	struct minion *table;
 	struct tally *tallies;
-	uint64_t next_heartbeat_ms;
-	uint64_t sequence;
+	uint64_t order; /* of the latest start or end */
 	uint32_t late_orders;
 	uint32_t late_ms;
 	uint64_t twice;
@@ -134,19 +170,22 @@
 	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
 }
 
-/* Counts a start of @task on @m that violates an invariant. */
+/*
+ * Counts a start of @task on @minion that violates an invariant. @other is the
+ * other run concerned, empty if there is none.
+ */
 static void note_violation(struct platform_minions *p, uint64_t *counter,
-			   const char *what, const struct minion *m,
-			   const char *task, uint64_t run)
+			   const char *what, const char *minion,
+			   const char *task, uint64_t run, const char *other)
 {
 	struct buf text;
 
 	(*counter)++;
 	if (p->violation_count == VIOLATIONS_MAX)
 		return;
-	text = buf_fmt("%s task=%s run=%llu minion=%s unix_ms=%llu", what, task,
-		       (unsigned long long)run, m->id,
-		       (unsigned long long)unix_ms());
+	text = buf_fmt("%s task=%s run=%llu minion=%s unix_ms=%llu%s", what,
+		       task, (unsigned long long)run, minion,
+		       (unsigned long long)unix_ms(), other);
 	p->violations[p->violation_count++] = text.data;
 }
 
@@ -163,6 +202,93 @@
 	return tally;
 }
 
+/* Returns the highest run of @task stopped or ended on @m, 0: none. */
+static uint64_t floor_get(const struct minion *m, const char *task)
+{
+	struct floor *floor;
+
+	HASH_FIND_STR(m->floors, task, floor);
+	return floor ? floor->run : 0;
+}
+
+static void floor_raise(struct minion *m, const char *task, uint64_t run)
+{
+	struct floor *floor;
+
+	HASH_FIND_STR(m->floors, task, floor);
+	if (!floor) {
+		floor = xcalloc(1, sizeof(*floor));
+		snprintf(floor->task, sizeof(floor->task), "%s", task);
+		HASH_ADD_STR(m->floors, task, floor);
+	}
+	if (run > floor->run)
+		floor->run = run;
+}
+
+static void floors_clear(struct minion *m)
+{
+	struct floor *floor = m->floors;
+
+	HASH_CLEAR(hh, m->floors);
+	while (floor) {
+		struct floor *next = floor->hh.next;
+
+		free(floor);
+		floor = next;
+	}
+}
+
+/*
+ * Notes the starts of a task that come after an end that has been observed, be
+ * it before the start or after it.
+ */
+static void check_history(struct platform_minions *p, struct tally *tally)
+{
+	for (uint32_t i = 0; i < tally->history_count; i++) {
+		struct start *start = &tally->history[i];
+		uint64_t failed = 0;
+		bool done = false;
+
+		for (uint32_t k = 0; k < tally->observation_count; k++) {
+			const struct observation *o = &tally->observations[k];
+
+			if (o->order > start->order)
+				continue;
+			done = done || o->done;
+			failed += !o->done;
+		}
+		if (done && !start->after_done) {
+			start->after_done = true;
+			note_violation(p, &p->after_done, "after-done",
+				       start->minion, tally->task, start->run,
+				       "");
+		}
+		if (start->attempts && failed >= start->attempts &&
+		    !start->over_budget) {
+			start->over_budget = true;
+			note_violation(p, &p->over_budget, "over-budget",
+				       start->minion, tally->task, start->run,
+				       "");
+		}
+	}
+}
+
+/* Handles that a caller of the minion has taken note of an end. */
+static void observe_end(struct platform_minions *p, const struct end *end)
+{
+	struct tally *tally = tally_get(p, end->task);
+	bool done = !strcmp(end->outcome, "done");
+
+	if (end->discarded || (!done && strcmp(end->outcome, "failed") != 0))
+		return;
+	tally->observations = xrealloc(tally->observations,
+				       (tally->observation_count + 1) *
+					       sizeof(*tally->observations));
+	tally->observations[tally->observation_count++] =
+		(struct observation){ .order = end->order, .done = done };
+	check_history(p, tally);
+}
+
 /*
  * Returns the clock of a minion, which is 0 when it boots. The clocks of every
  * second minion run 2% slow.
@@ -206,10 +332,44 @@
 			"capacity", "cpu", CPU_MILLI, "mem_mb", MEM_MB,
 			"labels", "a", "r1-1", "born",
 			(json_int_t)m->boot_unix_ms, "sequence",
-			(json_int_t)p->sequence, "clock_ms",
+			(json_int_t)m->sequence, "clock_ms",
 			(json_int_t)minion_clock(p, m)));
 }
 
+/*
+ * Writes the entry of a minion when it is due, unless the heartbeat does not
+ * reach the store, and removes the entry of one that has been silent.
+ */
+static void tick_entry(struct platform_minions *p, struct minion *m,
+		       uint64_t now)
+{
+	char key[64];
+
+	if (!m->down_until && now >= m->next_heartbeat_ms) {
+		if (platform_kv_is_away(p->kv) || now < m->cut_until) {
+			m->next_heartbeat_ms =
+				now + HEARTBEAT_RETRY_MIN_MS +
+				(uint64_t)(m - p->table) * 331 %
+					HEARTBEAT_RETRY_SPREAD_MS;
+		} else {
+			m->next_heartbeat_ms = now + HEARTBEAT_MS;
+			m->entry_until =
+				now + (uint64_t)HEARTBEAT_MS * ENTRY_HEARTBEATS;
+			m->sequence++;
+			write_entry(p, m);
+		}
+	}
+	/* While the store is away no entry lapses, but see platform_kv.c. */
+	if (m->entry_until && platform_kv_is_away(p->kv))
+		m->entry_until =
+			now + (uint64_t)HEARTBEAT_MS * ENTRY_HEARTBEATS;
+	if (!m->entry_until || now <= m->entry_until)
+		return;
+	m->entry_until = 0;
+	snprintf(key, sizeof(key), "servers/%s", m->id);
+	platform_kv_remove(p->kv, key);
+}
+
 static json_t *report_json(const struct minion *m,
 			   const struct platform_minions *p)
 {
@@ -282,36 +442,26 @@
 	end = &m->ends[m->end_count++];
 	*end = (struct end){ .number = ++m->next_end,
 			     .run = run.number,
+			     .order = ++p->order,
 			     .outcome = outcome };
 	memcpy(end->task, run.task, sizeof(end->task));
 	tally->running--;
 	tally->done += !strcmp(outcome, "done");
-	tally->done_observed += !strcmp(outcome, "done");
 	tally->failed += !strcmp(outcome, "failed");
-	tally->failed_observed += !strcmp(outcome, "failed");
-	if (run.number > tally->last_ended_run)
-		tally->last_ended_run = run.number;
+	floor_raise(m, run.task, run.number);
 	if (run.gang)
 		end_gang(p, &run, !strcmp(outcome, "done") ? "done" : "broken");
 	answer_poll(p, m);
 }
 
 /*
- * Removes unreported ends from the observed totals when the lease has expired
- * or the minion is gone; the scheduler may restart these tasks.
+ * Marks the ends that were not observed before the lease lapsed or the minion
+ * was gone; the scheduler may restart these tasks.
  */
-static void discard_ends(struct platform_minions *p, struct minion *m)
+static void discard_ends(struct minion *m)
 {
-	for (uint32_t i = 0; i < m->end_count; i++) {
-		struct end *end = &m->ends[i];
-		struct tally *tally = tally_get(p, end->task);
-
-		if (end->discarded)
-			continue;
-		end->discarded = true;
-		tally->done_observed -= !strcmp(end->outcome, "done");
-		tally->failed_observed -= !strcmp(end->outcome, "failed");
-	}
+	for (uint32_t i = 0; i < m->end_count; i++)
+		m->ends[i].discarded = true;
 }
 
 static uint32_t gang_started_count(const struct platform_minions *p,
@@ -364,7 +514,7 @@
 	if (crash_by_run(p, m, now))
 		return;
 	if (now > m->lease_ms)
-		discard_ends(p, m);
+		discard_ends(m);
 	while (i < m->run_count) {
 		struct run *run = &m->runs[i];
 
@@ -398,7 +548,7 @@
 		if (run.gang)
 			end_gang(p, &run, "broken");
 	}
-	discard_ends(p, m);
+	discard_ends(m);
 	m->end_count = 0;
 	answer_poll(p, m);
 }
@@ -412,7 +562,10 @@
 	m->token = 0;
 	m->lease_ms = 0;
 	m->next_end = 0;
+	m->next_heartbeat_ms = now;
+	m->sequence = 0;
 	m->incarnation++;
+	floors_clear(m);
 }
 
 static void deregister(struct platform_minions *p, struct minion *m)
@@ -420,6 +573,7 @@
 	char key[64];
 
 	discard_runs(p, m);
+	m->entry_until = 0;
 	snprintf(key, sizeof(key), "servers/%s", m->id);
 	platform_kv_remove(p->kv, key);
 }
@@ -446,14 +600,7 @@
 	for (uint32_t i = 0; i < p->count; i++) {
 		tick_lifecycle(p, &p->table[i], now);
 		tick_minion(p, &p->table[i], now);
-	}
-	if (now >= p->next_heartbeat_ms) {
-		p->next_heartbeat_ms = now + HEARTBEAT_MS;
-		p->sequence++;
-		for (uint32_t i = 0; i < p->count; i++) {
-			if (!p->table[i].down_until)
-				write_entry(p, &p->table[i]);
-		}
+		tick_entry(p, &p->table[i], now);
 	}
 	timer_start(p->loop, &p->tick, TICK_MS);
 }
@@ -538,27 +685,55 @@
 		mem += m->runs[i].mem_mb;
 	}
 	if (cpu > CPU_MILLI || mem > MEM_MB)
-		note_violation(p, &p->over_capacity, "over-capacity", m,
-			       run->task, run->number);
+		note_violation(p, &p->over_capacity, "over-capacity", m->id,
+			       run->task, run->number, "");
+}
+
+/* Notes a start of a task of which another run goes on. */
+static void note_twice(struct platform_minions *p, const struct minion *m,
+		       const char *task, uint64_t run)
+{
+	for (uint32_t i = 0; i < p->count; i++) {
+		const struct minion *at = &p->table[i];
+
+		for (uint32_t k = 0; k < at->run_count; k++) {
+			struct buf other;
+
+			if (strcmp(at->runs[k].task, task) != 0)
+				continue;
+			other = buf_fmt(
+				" beside=%s run=%llu lease_left_ms=%llu",
+				at->id, (unsigned long long)at->runs[k].number,
+				(unsigned long long)(at->lease_ms -
+						     loop_now_ms()));
+			note_violation(p, &p->twice, "twice", m->id, task, run,
+				       other.data);
+			buf_free(&other);
+			return;
+		}
+	}
 }
 
 static void check_start(struct platform_minions *p, const struct minion *m,
-			const struct tally *tally, const json_t *payload,
+			struct tally *tally, const json_t *payload,
 			uint64_t run)
 {
-	uint64_t attempts = get_u64(payload, "attempts");
+	struct start *start;
 
 	if (tally->running)
-		note_violation(p, &p->twice, "twice", m, tally->task, run);
-	if (tally->done_observed)
-		note_violation(p, &p->after_done, "after-done", m, tally->task,
-			       run);
-	if (attempts && tally->failed_observed >= attempts)
-		note_violation(p, &p->over_budget, "over-budget", m,
-			       tally->task, run);
+		note_twice(p, m, tally->task, run);
 	if (!previous_step_done(p, tally->task, get_u64(payload, "width")))
-		note_violation(p, &p->too_early, "too-early", m, tally->task,
-			       run);
+		note_violation(p, &p->too_early, "too-early", m->id,
+			       tally->task, run, "");
+	tally->history =
+		xrealloc(tally->history,
+			 (tally->history_count + 1) * sizeof(*tally->history));
+	start = &tally->history[tally->history_count++];
+	*start = (struct start){ .order = ++p->order,
+				 .run = run,
+				 .attempts = get_u64(payload, "attempts") };
+	snprintf(start->minion, sizeof(start->minion), "%s", m->id);
+	check_history(p, tally);
 }
 
 static bool is_first_of_step(const char *task)
@@ -604,13 +779,24 @@
 	json_decref(payload);
 }
 
+/* Extends the lease up to @deadline, a time on the minion's clock. */
+static void renew_lease(const struct platform_minions *p, struct minion *m,
+			uint64_t deadline)
+{
+	uint64_t limit = minion_clock(p, m) + LEASE_MAX_MS;
+	uint64_t lease =
+		loop_time_at(p, m, deadline < limit ? deadline : limit);
+
+	if (lease > m->lease_ms)
+		m->lease_ms = lease;
+}
+
 static void handle_start(struct platform_minions *p, struct minion *m,
 			 uint64_t call, const json_t *body,
 			 uint64_t ordered_unix_ms)
 {
 	const char *task = json_string_value(json_object_get(body, "task"));
 	uint64_t deadline = get_u64(body, "deadline_ms");
-	uint64_t lease = loop_time_at(p, m, deadline);
 
 	if (!task) {
 		if (call)
@@ -619,26 +805,35 @@
 		reject(p, m, call, "fence");
 	} else if (run_index(m, task, get_u64(body, "run")) >= 0) {
 		accept_order(p, m, call);
-	} else if (get_u64(body, "run") <= tally_get(p, task)->last_ended_run) {
+	} else if (get_u64(body, "run") <= floor_get(m, task)) {
+		renew_lease(p, m, deadline);
 		reject(p, m, call, "old");
 	} else if (deadline < minion_clock(p, m)) {
 		reject(p, m, call, "late");
 	} else {
-		if (lease > m->lease_ms)
-			m->lease_ms = lease;
+		renew_lease(p, m, deadline);
 		tally_get(p, task)->ordered_ms = ordered_unix_ms;
 		start_run(p, m, body, task);
 		accept_order(p, m, call);
 	}
 }
 
+/* Applies what is due: under load the timer may be late for a lapsed lease. */
+static void tick_minions(struct platform_minions *p)
+{
+	for (uint32_t i = 0; i < p->count; i++)
+		tick_minion(p, &p->table[i], loop_now_ms());
+}
+
 static void on_late_order(struct timer *timer)
 {
 	struct late_order *late = timer->ctx;
 	struct minion *m = &late->p->table[late->minion];
 
-	if (m->incarnation == late->incarnation && !m->down_until)
+	if (m->incarnation == late->incarnation && !m->down_until) {
+		tick_minions(late->p);
 		handle_start(late->p, m, 0, late->body, late->ordered_unix_ms);
+	}
 	json_decref(late->body);
 	free(late);
 }
@@ -671,8 +866,8 @@
 	at = run_index(m, task, get_u64(body, "run"));
 	if (at >= 0)
 		end_run(p, m, (uint32_t)at, "stopped");
-	else if (get_u64(body, "run") > tally_get(p, task)->last_ended_run)
-		tally_get(p, task)->last_ended_run = get_u64(body, "run");
+	else
+		floor_raise(m, task, get_u64(body, "run"));
 	accept_order(p, m, call);
 }
 
@@ -689,13 +884,13 @@
 		reject(p, m, call, "fence");
 		return;
 	}
-	if (deadline && loop_time_at(p, m, deadline) > m->lease_ms)
-		m->lease_ms = loop_time_at(p, m, deadline);
-	if (m->lease_ms > now + LEASE_MAX_MS)
-		m->lease_ms = now + LEASE_MAX_MS;
+	if (deadline)
+		renew_lease(p, m, deadline);
 	for (uint32_t i = 0; i < m->end_count; i++) {
 		if (m->ends[i].number > observed)
 			m->ends[kept++] = m->ends[i];
+		else
+			observe_end(p, &m->ends[i]);
 	}
 	m->end_count = kept;
 	answer_poll(p, m);
@@ -714,6 +909,7 @@
 		json_loadb(request->http.body, request->http.body_len, 0, NULL);
 	char expected[32];
 
+	tick_minions(p);
 	/* A crashed minion does not answer. */
 	if (m->down_until)
 		goto out;
@@ -766,9 +962,9 @@
 
 /*
  * Injects a fault: {"late_orders": N, "late_ms": M}, or one of "crash",
- * "drain", "grey" and "hang" with the index of a minion and "for_ms". Returns
- * false if
- * @change names none of these.
+ * "drain", "grey", "hang" and "cut" with the index of a minion and "for_ms". A
+ * minion that is cut does not reach the store; it still serves its callers.
+ * Returns false if @change names none of these.
  */
 bool platform_minions_fault(struct platform_minions *p, const json_t *change)
 {
@@ -796,6 +992,8 @@
 			m->fail_until = until;
 		else if (!strcmp(key, "hang"))
 			m->hang_until = until;
+		else if (!strcmp(key, "cut"))
+			m->cut_until = until;
 		else
 			continue;
 		return true;
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -25,6 +25,8 @@
 #define VISIBLE_TIMEOUT_MS 3000
 /* A cancelled job starts no task after this time (cancel_ms). */
 #define CANCEL_TIMEOUT_MS 3000
+/* A job that is shown as completed starts no task after this time. */
+#define COMPLETED_SLACK_MS 1000
 #define TASK_ATTEMPTS 2
 #define WIDTH_MAX 4
 #define STEPS_MAX 2
@@ -60,6 +62,7 @@
 	uint64_t cancel_at_ms; /* 0: never */
 	bool cancel_sent;
 	uint64_t cancelled_unix_ms; /* time of acknowledgement, 0: none */
+	uint64_t completed_unix_ms; /* first reported so, 0: never */
 	char state[16];		    /* last reported */
 };
 
@@ -174,6 +177,8 @@
 	} else {
 		check_transition(c, job, state, call->daemon);
 		snprintf(job->state, sizeof(job->state), "%s", state);
+		if (!strcmp(state, "completed") && !job->completed_unix_ms)
+			job->completed_unix_ms = unix_ms();
 	}
 	if (is_final(job))
 		job->next_call_ms = loop_now_ms() + ENDED_POLL_MS;
@@ -474,6 +479,15 @@
 		 counts.failed < TASK_ATTEMPTS)
 		soak_violation(s, "job %s: failed after %u failures", job->id,
 			       counts.failed);
+	if (job->completed_unix_ms &&
+	    counts.last_start_unix_ms >
+		    job->completed_unix_ms + COMPLETED_SLACK_MS)
+		soak_violation(s,
+			       "job %s: task started %llu ms after the job was "
+			       "shown as completed",
+			       job->id,
+			       (unsigned long long)(counts.last_start_unix_ms -
+						    job->completed_unix_ms));
 	if (job->cancelled_unix_ms &&
 	    counts.last_start_unix_ms >
 		    job->cancelled_unix_ms + CANCEL_TIMEOUT_MS)
