Lose requests to a former life of a minion in the platform test double

The connections of a minion that crashes were kept: a start that a proxy had held back was executed by the next life under the same id, which has seen no fencing token and whose clock begins anew. On real machines a connection does not outlive its process. Requests on connections that were accepted before the start of a life are dropped now.

The fault "cut" takes a list of minions.

--- a/fakes/fake.c
+++ b/fakes/fake.c
@@ -157,6 +157,12 @@
 	drop_request(port, handle, req);
 }
 
+/* Returns the number of the connection accepted last. */
+uint64_t fake_latest_connection(void)
+{
+	return h2o_connection_id;
+}
+
 /* Closes the connection of request @id without an answer. */
 void fake_drop(struct fake *fake, uint64_t id)
 {
@@ -472,6 +478,7 @@
 		.id = call_id(port, http->handle),
 		.port = port->index,
 		.connections = count_connections(req->conn->ctx),
+		.connection = req->conn->id,
 		.http = *http,
 	};
 	HASH_ADD(hh, fake->calls, request.id, sizeof(uint64_t), call);
--- a/fakes/fake.h
+++ b/fakes/fake.h
@@ -18,6 +18,7 @@
 	uint64_t id;		   /* for fake_answer(), valid until then */
 	uint32_t port;		   /* index of the listener */
 	uint32_t connections;	   /* open on this listener, on arrival */
+	uint64_t connection;	   /* rises in the order of accepting */
 	struct httpd_request http; /* valid until answered */
 };
 
@@ -52,6 +53,7 @@
 
 bool fake_fails(const struct fake *fake, uint32_t port);
 void fake_may_lose_answer(struct fake *fake, uint64_t id);
+uint64_t fake_latest_connection(void);
 void fake_drop(struct fake *fake, uint64_t id);
 void fake_answer(struct fake *fake, uint64_t id, int status,
 		 const char *headers, const void *body, size_t len);
--- a/fakes/platform_minion.c
+++ b/fakes/platform_minion.c
@@ -72,8 +72,9 @@
 	char id[32];
 	uint32_t incarnation;
 	uint64_t boot_unix_ms;
-	uint64_t boot_ms;    /* loop time at which its clock is 0 */
-	uint64_t down_until; /* end of a crash, 0: up */
+	uint64_t boot_connection; /* the latest one of its former lives */
+	uint64_t boot_ms;	  /* loop time at which its clock is 0 */
+	uint64_t down_until;	  /* end of a crash, 0: up */
 	uint64_t drain_until;
 	uint64_t fail_until; /* all runs started before then fail */
 	uint64_t hang_until; /* no run completes before then */
@@ -557,6 +558,7 @@
 {
 	m->boot_ms = now;
 	m->boot_unix_ms = unix_ms();
+	m->boot_connection = fake_latest_connection();
 	m->down_until = 0;
 	m->drain_until = 0;
 	m->token = 0;
@@ -913,6 +915,11 @@
 	/* A crashed minion does not answer. */
 	if (m->down_until)
 		goto out;
+	/* What a proxy held back for a former life is lost with it. */
+	if (request->connection <= m->boot_connection) {
+		fake_drop(p->fake, request->id);
+		goto out;
+	}
 	if (httpd_header(&request->http, "jayspoke-expect-instance", expected,
 			 sizeof(expected)) &&
 	    strcmp(expected, m->id) != 0)
@@ -960,11 +967,23 @@
 	m->drain_until = 0;
 }
 
+/* Cuts the minions of a list off from the store. */
+static void cut_off(struct platform_minions *p, const json_t *list,
+		    uint64_t until)
+{
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		json_int_t at = json_integer_value(json_array_get(list, i));
+
+		if (at >= 0 && at < p->count)
+			p->table[at].cut_until = until;
+	}
+}
+
 /*
  * Injects a fault: {"late_orders": N, "late_ms": M}, or one of "crash",
- * "drain", "grey", "hang" and "cut" with the index of a minion and "for_ms". A
- * minion that is cut does not reach the store; it still serves its callers.
- * Returns false if @change names none of these.
+ * "drain", "grey" and "hang" with the index of a minion and "for_ms", or "cut"
+ * with a list of these. A minion that is cut does not reach the store; it still
+ * serves its callers. Returns false if @change names none of these.
  */
 bool platform_minions_fault(struct platform_minions *p, const json_t *change)
 {
@@ -978,6 +997,10 @@
 		p->late_ms = (uint32_t)get_u64(change, "late_ms");
 		return true;
 	}
+	if (json_object_get(change, "cut")) {
+		cut_off(p, json_object_get(change, "cut"), until);
+		return true;
+	}
 	json_object_foreach((json_t *)change, key, value)
 	{
 		if (!json_is_integer(value) || json_integer_value(value) < 0 ||
@@ -992,8 +1015,6 @@
 			m->fail_until = until;
 		else if (!strcmp(key, "hang"))
 			m->hang_until = until;
-		else if (!strcmp(key, "cut"))
-			m->cut_until = until;
 		else
 			continue;
 		return true;
--- a/tests/process/11-fake-minions.sh
+++ b/tests/process/11-fake-minions.sh
@@ -93,7 +93,7 @@
 fault_platform() {
 	http -f -X POST "http://$STORE/platform" -d "$1" >/dev/null
 }
-check "a minion is cut off from the store" fault_platform '{"cut":0,"for_ms":3000}'
+check "a minion is cut off from the store" fault_platform '{"cut":[0],"for_ms":3000}'
 wait_for "its entry lapses" entries_are 3
 check_equal "it still serves" 200 "$(observe_ends 0 0)"
 wait_for "its entry is back" entries_are 4
