Play series of faults around a change of the holder in the soak

Callers saw tasks run twice after changes of the holder, and no seed of the soak did: each fault was drawn by itself, minions were cut off from the daemons but never from the store, and all daemons shared one route to a minion.

New series, beside the single faults and overlapping them: a quarter to three quarters of the minions cut off from all daemons and the store, at once or with their entries gone first, while the holder is killed, stopped for 2 to 6 s or told to end, once or twice; the store away as a process, with reset connections and in three of four cases lapsed leases; two groups of daemons and minions cut off from each other, one also from the store; minions that one group does not reach; daemons that run for 25 of each 100 ms. For the groups the preloaded library also maps ports, so that daemons of the second group use proxies of their own. One job in six has long tasks. A fault of a route now lasts until its own end instead of the end of an earlier one. A run takes 800 ports.

Runs with ports from the range of ephemeral ports fail since listeners cannot be bound again ("Address already in use"): base ports are below 32768 or from 61000 on.

--- a/Makefile
+++ b/Makefile
@@ -104,12 +104,12 @@
 	@mkdir -p $(@D)
 	$(CC) -Ilib $(CFLAGS) $(LDFLAGS) -o $@ $< $(LIB) -lxxhash -lm
 
-$(B)/soak: $(call OBJ,$(filter-out tests/soak/skew.c,$(SOAK_SRC))) $(COMMON) \
-		$(LIB) $(B)/soak-skew.so $(B)/jaycelld $(B)/fakeplatform
+$(B)/soak: $(call OBJ,$(filter-out tests/soak/preload.c,$(SOAK_SRC))) $(COMMON) \
+		$(LIB) $(B)/soak-preload.so $(B)/jaycelld $(B)/fakeplatform
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
 
 # Preloaded into the daemons of the soak.
-$(B)/soak-skew.so: tests/soak/skew.c
+$(B)/soak-preload.so: tests/soak/preload.c tests/soak/preload.h
 	$(CC) $(CPPFLAGS) $(CFLAGS) -fPIC -shared -o $@ $<
 
 $(B)/bench/%: $(O)/bench/%.o $(ARCHIVES)
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -35,6 +35,10 @@
 #define CRASH_ONE_IN 61
 #define CRASH_AFTER_MS 30
 #define GANG_ONE_IN 4
+/* Some tasks, of little CPU, run on while minions are cut off. */
+#define LONG_ONE_IN 6
+#define LONG_CPU 200
+#define LONG_FACTOR 5
 
 enum job_phase {
 	JOB_SUBMITTING,
@@ -351,6 +355,10 @@
 		job->cancel_at_ms = now + soak_random(s, 3000);
 	/* No number is drawn, so that seeds play the same faults as before. */
 	job->crashes = c->count % CRASH_ONE_IN == CRASH_ONE_IN - 1;
+	if (!s->options.basic && c->count % LONG_ONE_IN == LONG_ONE_IN - 1) {
+		job->run_ms *= LONG_FACTOR;
+		job->cpu = LONG_CPU;
+	}
 	snprintf(job->id, sizeof(job->id), "%08x%08x",
 		 (uint32_t)s->options.seed, c->count);
 	c->count++;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -58,6 +58,21 @@
 	       port;
 }
 
+/*
+ * Half of the daemons and half of the minions are in the second group. Its
+ * daemons have proxies of their own to each minion and each other daemon, so
+ * that the groups can be cut off from each other.
+ */
+bool soak_daemon_in_group_2(uint32_t daemon)
+{
+	return daemon % 2;
+}
+
+bool soak_minion_in_group_2(uint32_t minion)
+{
+	return minion / 2 % 2;
+}
+
 /* Returns a pseudo-random number below @below. */
 uint32_t soak_random(struct soak *s, uint32_t below)
 {
@@ -257,6 +272,18 @@
 			      base + 3 + i, err) == UINT32_MAX)
 			return false;
 	}
+	for (uint32_t i = 0; i < s->options.daemons; i++) {
+		if (proxy_add(s->proxy,
+			      soak_daemon_port(s, i, DAEMON_PEERS_PROXY_2),
+			      soak_daemon_port(s, i, DAEMON_PEERS),
+			      err) == UINT32_MAX)
+			return false;
+	}
+	for (uint32_t i = 0; i < s->options.minions; i++) {
+		if (proxy_add(s->proxy, base + PORT_MINION_PROXY_2 + i,
+			      base + 3 + i, err) == UINT32_MAX)
+			return false;
+	}
 	return proxy_start(s->proxy, err);
 }
 
@@ -312,15 +339,16 @@
 	struct arg_int *minions =
 		arg_int0(NULL, "minions", "N", "number of minions (8)");
 	struct arg_int *port =
-		arg_int0("p", "base-port", "N", "first of 700 ports (20000)");
+		arg_int0("p", "base-port", "N", "first of 800 ports (20000)");
+	struct arg_lit *basic =
+		arg_lit0(NULL, "basic", "single faults only, no series");
 	struct arg_str *build =
 		arg_str0("b", "build", "DIR", "directory of binaries (build)");
 	struct arg_str *dir =
 		arg_str1("d", "dir", "DIR", "directory of settings and logs");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {
-		seed, seconds, daemons, minions, port, build, dir, end
-	};
+	void *table[] = { seed,	 seconds, daemons, minions, port,
+			  basic, build,	  dir,	   end };
 	struct soak_options options;
 
 	if (arg_parse(argc, argv, table)) {
@@ -337,6 +365,7 @@
 		.daemons = (uint32_t)int_option(daemons, 4),
 		.minions = (uint32_t)int_option(minions, 8),
 		.base_port = (uint32_t)int_option(port, 20000),
+		.basic = basic->count,
 	};
 	if (!options.daemons || options.daemons > SOAK_DAEMONS_MAX ||
 	    !options.minions || options.minions > SOAK_MINIONS_MAX) {
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -10,7 +10,6 @@
 
 #include "soak.h"
 
-#define UNDO_MAX 256
 #define FAULT_GAP_MAX_MS 1400 /* between the starts of two faults */
 #define FAULT_MIN_MS 300
 #define FAULT_MAX_MS 6000
@@ -18,11 +17,21 @@
 #define HOLDER_ONE_IN 2
 #define CONFIG_TIMEOUT_MS 2000
 #define HOLDER_POLL_MS 100
-
-/* Scheduled end of a fault of a route. */
-struct undo {
-	uint64_t at_ms; /* 0: free */
-	uint32_t route;
+/* Series: several faults that belong together. */
+#define SERIES_GAP_MIN_MS 1000
+#define SERIES_GAP_MAX_MS 6000
+#define SERIES_MIN_MS 1500
+#define SERIES_MAX_MS 8000
+#define LATER_MAX 64
+#define PAUSE_MIN_MS 2000
+#define PAUSE_MAX_MS 6000
+
+struct plan;
+
+/* A fault of a series that is due later. */
+struct later {
+	uint64_t at_ms;
+	void (*fn)(struct plan *plan); /* NULL: free */
 };
 
 struct plan {
@@ -32,8 +41,12 @@
 	uint32_t holder; /* as last read from the store */
 	bool holder_polling;
 	uint32_t count;
-	uint32_t version; /* of the configuration */
-	struct undo undo[UNDO_MAX];
+	uint32_t version;		    /* of the configuration */
+	uint64_t until_ms[SOAK_ROUTES_MAX]; /* end of its fault, 0: none */
+	uint64_t next_series_ms;
+	struct later later[LATER_MAX];
+	bool chosen[SOAK_MINIONS_MAX]; /* by the latest series */
+	uint64_t chosen_until_ms;      /* end of their cut */
 };
 
 struct action {
@@ -42,7 +55,10 @@
 	void (*fn)(struct plan *plan);
 };
 
-/* Order of the routes: DAEMON_ROUTES for each daemon, then the minions. */
+/*
+ * Order of the routes: DAEMON_ROUTES for each daemon, then the minions. Then
+ * those of the second group of daemons, to each daemon and each minion.
+ */
 enum daemon_route { ROUTE_PEERS, ROUTE_STORE, ROUTE_ADVICE, DAEMON_ROUTES };
 
 static uint32_t duration(struct plan *p)
@@ -72,22 +88,38 @@
 	return p->s->options.daemons * DAEMON_ROUTES + minion;
 }
 
-/*
- * Sets a fault that ends after @for_ms. It is cleared at once if no undo entry
- * is free.
- */
+static uint32_t peers_route_2(const struct plan *p, uint32_t daemon)
+{
+	return minion_route_index(p, p->s->options.minions) + daemon;
+}
+
+static uint32_t minion_route_2(const struct plan *p, uint32_t minion)
+{
+	return peers_route_2(p, p->s->options.daemons) + minion;
+}
+
+/* Sets a fault that ends after @for_ms; it replaces one of the same route. */
 static void inject(struct plan *p, uint32_t route,
 		   const struct proxy_fault *fault, uint32_t for_ms)
 {
 	proxy_set(p->s->proxy, route, fault);
-	for (uint32_t i = 0; i < UNDO_MAX; i++) {
-		if (p->undo[i].at_ms)
-			continue;
-		p->undo[i] = (struct undo){ .at_ms = loop_now_ms() + for_ms,
-					    .route = route };
-		return;
-	}
-	proxy_set(p->s->proxy, route, &(struct proxy_fault){ 0 });
+	p->until_ms[route] = loop_now_ms() + for_ms;
+}
+
+/* As inject(), for the routes of both groups to a minion. */
+static void inject_minion(struct plan *p, uint32_t minion,
+			  const struct proxy_fault *fault, uint32_t for_ms)
+{
+	inject(p, minion_route_index(p, minion), fault, for_ms);
+	inject(p, minion_route_2(p, minion), fault, for_ms);
+}
+
+/* As inject(), for the routes of both groups to a daemon. */
+static void inject_peers(struct plan *p, uint32_t daemon,
+			 const struct proxy_fault *fault, uint32_t for_ms)
+{
+	inject(p, daemon_route_index(daemon, ROUTE_PEERS), fault, for_ms);
+	inject(p, peers_route_2(p, daemon), fault, for_ms);
 }
 
 static struct proxy_fault random_cut(struct plan *p)
@@ -162,10 +194,9 @@
 	       duration(p));
 }
 
-static void inject_store(struct plan *p, const struct proxy_fault *fault)
+static void inject_store(struct plan *p, const struct proxy_fault *fault,
+			 uint32_t for_ms)
 {
-	uint32_t for_ms = duration(p);
-
 	for (uint32_t i = 0; i < p->s->options.daemons; i++)
 		inject(p, daemon_route_index(i, ROUTE_STORE), fault, for_ms);
 }
@@ -174,30 +205,28 @@
 {
 	struct proxy_fault cut = random_cut(p);
 
-	inject_store(p, &cut);
+	inject_store(p, &cut, duration(p));
 }
 
 static void slow_store(struct plan *p)
 {
 	struct proxy_fault delay = random_delay(p);
 
-	inject_store(p, &delay);
+	inject_store(p, &delay, duration(p));
 }
 
 static void cut_peers(struct plan *p)
 {
 	struct proxy_fault cut = random_cut(p);
 
-	inject(p, daemon_route_index(pick_daemon(p), ROUTE_PEERS), &cut,
-	       duration(p));
+	inject_peers(p, pick_daemon(p), &cut, duration(p));
 }
 
 static void slow_peers(struct plan *p)
 {
 	struct proxy_fault delay = random_delay(p);
 
-	inject(p, daemon_route_index(pick_daemon(p), ROUTE_PEERS), &delay,
-	       duration(p));
+	inject_peers(p, pick_daemon(p), &delay, duration(p));
 }
 
 static void cut_advice(struct plan *p)
@@ -215,8 +244,7 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct proxy_fault cut = random_cut(p);
 
-		inject(p, minion_route_index(p, pick_minion(p)), &cut,
-		       duration(p));
+		inject_minion(p, pick_minion(p), &cut, duration(p));
 	}
 }
 
@@ -224,13 +252,12 @@
 {
 	struct proxy_fault delay = random_delay(p);
 
-	inject(p, minion_route_index(p, pick_minion(p)), &delay, duration(p));
+	inject_minion(p, pick_minion(p), &delay, duration(p));
 }
 
 static uint32_t pick_route(struct plan *p)
 {
-	return soak_random(p->s, p->s->options.daemons * DAEMON_ROUTES +
-					 p->s->options.minions);
+	return soak_random(p->s, minion_route_2(p, p->s->options.minions));
 }
 
 static void reset_some(struct plan *p)
@@ -396,31 +423,229 @@
 
 #define ACTION_COUNT (sizeof(actions) / sizeof(actions[0]))
 
-static const struct action *pick_action(struct plan *p)
+static void run_later(struct plan *p, uint32_t after_ms,
+		      void (*fn)(struct plan *plan))
+{
+	for (uint32_t i = 0; i < LATER_MAX; i++) {
+		if (p->later[i].fn)
+			continue;
+		p->later[i] = (struct later){ .at_ms = loop_now_ms() + after_ms,
+					      .fn = fn };
+		return;
+	}
+}
+
+static uint32_t series_duration(struct plan *p)
+{
+	return SERIES_MIN_MS + soak_random(p->s, SERIES_MAX_MS - SERIES_MIN_MS);
+}
+
+/* Ends the term of the holder: killed, stopped for a while, or told to end. */
+static void change_holder(struct plan *p)
+{
+	uint32_t kind = soak_random(p->s, 5);
+
+	soak_log(p->s, "series: change of holder=%u kind=%u", p->holder, kind);
+	if (kind < 2)
+		procs_kill(p->s->procs, p->holder, SIGKILL,
+			   soak_random(p->s, 2500));
+	else if (kind < 4)
+		procs_pause(
+			p->s->procs, p->holder,
+			PAUSE_MIN_MS +
+				soak_random(p->s, PAUSE_MAX_MS - PAUSE_MIN_MS));
+	else
+		procs_kill(p->s->procs, p->holder, SIGTERM, 500);
+}
+
+/* Changes the holder soon, and half of the time once more. */
+static void change_holder_soon(struct plan *p, uint32_t from_ms)
+{
+	uint32_t first_ms = from_ms + soak_random(p->s, 1500);
+
+	run_later(p, first_ms, change_holder);
+	if (soak_random(p->s, 2))
+		run_later(p, first_ms + 500 + soak_random(p->s, 4000),
+			  change_holder);
+}
+
+/* Cuts the chosen minions off from all daemons. */
+static void cut_chosen(struct plan *p)
+{
+	static const struct proxy_fault cut = { .stall = { true, true } };
+	uint64_t now = loop_now_ms();
+
+	for (uint32_t i = 0; i < p->s->options.minions; i++) {
+		if (p->chosen[i] && now < p->chosen_until_ms)
+			inject_minion(p, i, &cut,
+				      (uint32_t)(p->chosen_until_ms - now));
+	}
+}
+
+/* Cuts the chosen minions off from the store. */
+static void cut_chosen_from_store(struct plan *p, uint32_t for_ms)
 {
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < p->s->options.minions; i++) {
+		if (p->chosen[i])
+			json_array_append_new(list, json_integer(i));
+	}
+	set_platform_fault(
+		p, json_pack("{s:o,s:i}", "cut", list, "for_ms", (int)for_ms));
+}
+
+/* Cuts a quarter to three quarters of the minions off; they run on. */
+static void isolate_minions(struct plan *p, uint32_t delay_ms)
+{
+	uint32_t quarters = 1 + soak_random(p->s, 3);
+	uint32_t for_ms = delay_ms + series_duration(p);
+
+	for (uint32_t i = 0; i < p->s->options.minions; i++)
+		p->chosen[i] = soak_random(p->s, 4) < quarters;
+	p->chosen_until_ms = loop_now_ms() + for_ms;
+	cut_chosen_from_store(p, for_ms);
+	run_later(p, delay_ms, cut_chosen);
+}
+
+static void series_minions(struct plan *p)
+{
+	/* With a delay their entries lapse first. */
+	uint32_t delay_ms = soak_random(p->s, 2) ? soak_random(p->s, 2500) : 0;
+
+	isolate_minions(p, delay_ms);
+	change_holder_soon(p, delay_ms);
+}
+
+static void series_store_away(struct plan *p)
+{
+	static const struct proxy_fault refuse = { .refuse = true };
+	uint32_t for_ms = 100 + soak_random(p->s, 4000);
+	bool lapse = soak_random(p->s, 4);
+
+	set_platform_fault(p, json_pack("{s:i,s:b}", "away_ms", (int)for_ms,
+					"lapse", lapse));
+	inject_store(p, &refuse, for_ms);
+	for (uint32_t i = 0; i < p->s->options.daemons; i++)
+		proxy_reset(p->s->proxy, daemon_route_index(i, ROUTE_STORE));
+	if (soak_random(p->s, 2))
+		change_holder_soon(p, for_ms);
+	if (soak_random(p->s, 2))
+		isolate_minions(p, soak_random(p->s, 1000));
+}
+
+/*
+ * Cuts one group of daemons and the minions of that group off from the store
+ * and from the other group.
+ */
+static void series_group(struct plan *p)
+{
+	static const struct proxy_fault cut = { .stall = { true, true } };
+	uint32_t for_ms = series_duration(p);
+	bool group_2 = soak_random(p->s, 2);
+
+	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
+		if (soak_daemon_in_group_2(i) == group_2)
+			inject(p, daemon_route_index(i, ROUTE_STORE), &cut,
+			       for_ms);
+		if (soak_daemon_in_group_2(i))
+			inject(p, daemon_route_index(i, ROUTE_PEERS), &cut,
+			       for_ms);
+		else
+			inject(p, peers_route_2(p, i), &cut, for_ms);
+	}
+	for (uint32_t i = 0; i < p->s->options.minions; i++) {
+		p->chosen[i] = soak_minion_in_group_2(i) == group_2;
+		if (soak_minion_in_group_2(i))
+			inject(p, minion_route_index(p, i), &cut, for_ms);
+		else
+			inject(p, minion_route_2(p, i), &cut, for_ms);
+	}
+	p->chosen_until_ms = 0;
+	cut_chosen_from_store(p, for_ms);
+	if (!soak_random(p->s, 3))
+		change_holder_soon(p, 0);
+}
+
+/* Cuts some minions off from one group of daemons. */
+static void series_one_side(struct plan *p)
+{
+	static const struct proxy_fault cut = { .stall = { true, true } };
+	bool group_2 = soak_random(p->s, 2);
+
+	for (uint32_t i = 0; i < p->s->options.minions; i++) {
+		if (soak_random(p->s, 2))
+			inject(p,
+			       group_2 ? minion_route_2(p, i)
+				       : minion_route_index(p, i),
+			       &cut, series_duration(p));
+	}
+	change_holder_soon(p, 0);
+}
+
+/* Lets some or all daemons run for a quarter of the time only. */
+static void series_late(struct plan *p)
+{
+	bool all = soak_random(p->s, 2);
+
+	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
+		if (all || soak_random(p->s, 2))
+			procs_throttle(p->s->procs, i, series_duration(p));
+	}
+	if (soak_random(p->s, 2))
+		isolate_minions(p, 0);
+	if (soak_random(p->s, 2))
+		change_holder_soon(p, 0);
+}
+
+static const struct action series[] = {
+	{ "series of cut minions", 3, series_minions },
+	{ "series of the store away", 3, series_store_away },
+	{ "series of a group", 2, series_group },
+	{ "series of one side", 2, series_one_side },
+	{ "series of late daemons", 2, series_late },
+};
+
+#define SERIES_COUNT (sizeof(series) / sizeof(series[0]))
+
+static void start_action(struct plan *p, const struct action *table,
+			 size_t count)
+{
+	const struct action *action = table;
 	uint32_t total = 0;
 	uint32_t at;
 
-	for (size_t i = 0; i < ACTION_COUNT; i++)
-		total += actions[i].weight;
+	for (size_t i = 0; i < count; i++)
+		total += table[i].weight;
 	at = soak_random(p->s, total);
-	for (size_t i = 0; i < ACTION_COUNT; i++) {
-		if (at < actions[i].weight)
-			return &actions[i];
-		at -= actions[i].weight;
-	}
-	return &actions[0];
+	while (at >= action->weight)
+		at -= action++->weight;
+	soak_log(p->s, "fault=\"%s\" holder=%u", action->name, p->holder);
+	p->count++;
+	action->fn(p);
 }
 
 static void expire_faults(struct plan *p, uint64_t now)
 {
 	static const struct proxy_fault none;
 
-	for (uint32_t i = 0; i < UNDO_MAX; i++) {
-		if (!p->undo[i].at_ms || now < p->undo[i].at_ms)
+	for (uint32_t i = 0; i < SOAK_ROUTES_MAX; i++) {
+		if (!p->until_ms[i] || now < p->until_ms[i])
 			continue;
-		proxy_set(p->s->proxy, p->undo[i].route, &none);
-		p->undo[i].at_ms = 0;
+		proxy_set(p->s->proxy, i, &none);
+		p->until_ms[i] = 0;
+	}
+}
+
+static void start_later(struct plan *p, uint64_t now)
+{
+	for (uint32_t i = 0; i < LATER_MAX; i++) {
+		void (*fn)(struct plan * plan) = p->later[i].fn;
+
+		if (!fn || now < p->later[i].at_ms)
+			continue;
+		p->later[i].fn = NULL;
+		fn(p);
 	}
 }
 
@@ -440,21 +665,24 @@
 /* Starts and ends the faults that are due. */
 void plan_tick(struct plan *p, uint64_t now_ms)
 {
-	const struct action *action;
-
 	expire_faults(p, now_ms);
+	start_later(p, now_ms);
 	if (!p->holder_polling && now_ms >= p->next_holder_poll_ms) {
 		p->holder_polling = true;
 		p->next_holder_poll_ms = now_ms + HOLDER_POLL_MS;
 		soak_platform_send(p->s, "GET", "/holder", NULL, on_holder, p);
 	}
-	if (now_ms < p->next_fault_ms)
-		return;
-	p->next_fault_ms = now_ms + soak_random(p->s, FAULT_GAP_MAX_MS);
-	action = pick_action(p);
-	soak_log(p->s, "fault=\"%s\" holder=%u", action->name, p->holder);
-	p->count++;
-	action->fn(p);
+	if (now_ms >= p->next_fault_ms) {
+		p->next_fault_ms = now_ms + soak_random(p->s, FAULT_GAP_MAX_MS);
+		start_action(p, actions, ACTION_COUNT);
+	}
+	if (!p->s->options.basic && now_ms >= p->next_series_ms) {
+		p->next_series_ms =
+			now_ms + SERIES_GAP_MIN_MS +
+			soak_random(p->s,
+				    SERIES_GAP_MAX_MS - SERIES_GAP_MIN_MS);
+		start_action(p, series, SERIES_COUNT);
+	}
 }
 
 /* Ends link faults and late writes and orders; see procs_heal() for the rest.
@@ -464,6 +692,10 @@
 	expire_faults(p, UINT64_MAX);
 	set_platform_fault(p, json_pack("{s:i}", "late_writes", 0));
 	set_platform_fault(p, json_pack("{s:i}", "late_orders", 0));
+	set_platform_fault(p, json_pack("{s:i}", "away_ms", 0));
+	for (uint32_t i = 0; i < p->s->options.minions; i++)
+		p->chosen[i] = true;
+	cut_chosen_from_store(p, 0);
 }
 
 /* Returns the number of faults started so far. */
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "preload.h"
 #include "soak.h"
 
 #define PATH_SIZE 4096
@@ -16,12 +17,17 @@
 #define GRACE_S 6
 /* Limit of the resident memory of a daemon: 32 MB. */
 #define DAEMON_MEMORY_MAX_KB 32768
+/* A throttled daemon runs for RUN_MS of each PERIOD_MS. */
+#define THROTTLE_PERIOD_MS 100
+#define THROTTLE_RUN_MS 25
 
 struct proc {
 	pid_t pid;	      /* 0: not running */
 	uint32_t incarnation; /* number of starts */
 	uint64_t start_ms;    /* scheduled restart, 0: none */
-	uint64_t resume_ms;   /* scheduled SIGCONT, 0: not paused */
+	uint64_t resume_ms;   /* end of a pause, 0: not paused */
+	uint64_t throttle_ms; /* end of throttling */
+	bool stopped;	      /* by SIGSTOP */
 	uint64_t kill_ms;     /* scheduled SIGKILL, 0: none */
 	bool stopping;	      /* the soak has signalled it to stop */
 	int64_t skew_ms;
@@ -84,15 +90,32 @@
 	return true;
 }
 
-static void write_skew(struct procs *p, uint32_t daemon)
+/* Writes the file that the daemon's preloaded library reads. */
+static void write_preload(struct procs *p, uint32_t daemon)
 {
+	const struct soak_options *o = &p->s->options;
+	struct soak_preload preload = { .skew_ms = p->daemons[daemon].skew_ms,
+					.base_port = o->base_port };
 	char path[PATH_SIZE];
 	int fd;
 
-	format_path(p, "skew", daemon, "", path);
+	if (soak_daemon_in_group_2(daemon)) {
+		for (uint32_t i = 0; i < o->minions; i++)
+			preload.instead[PORT_MINION_PROXY + i] =
+				(uint16_t)(PORT_MINION_PROXY_2 + i);
+		for (uint32_t i = 0; i < o->daemons; i++)
+			preload.instead[soak_daemon_port(p->s, i,
+							 DAEMON_PEERS_PROXY) -
+					o->base_port] =
+				(uint16_t)(soak_daemon_port(
+						   p->s, i,
+						   DAEMON_PEERS_PROXY_2) -
+					   o->base_port);
+	}
+	format_path(p, "preload", daemon, "", path);
 	fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-	if (fd < 0 || pwrite(fd, &p->daemons[daemon].skew_ms, sizeof(int64_t),
-			     0) != sizeof(int64_t))
+	if (fd < 0 || pwrite(fd, &preload, sizeof(preload), 0) !=
+			      (ssize_t)sizeof(preload))
 		soak_log(p->s, "%s: cannot write: %s", path, strerror(errno));
 	if (fd >= 0)
 		close(fd);
@@ -124,23 +147,24 @@
 	struct proc *proc = &p->daemons[daemon];
 	char program[PATH_SIZE];
 	char settings[PATH_SIZE];
-	char skew[PATH_SIZE];
+	char preload[PATH_SIZE];
 	char library[PATH_SIZE];
 	char log[PATH_SIZE];
 	char *argv[] = { program, "-f", settings, NULL };
 
 	snprintf(program, sizeof(program), "%s/jaycelld", p->s->options.build);
-	snprintf(library, sizeof(library), "%s/soak-skew.so",
+	snprintf(library, sizeof(library), "%s/soak-preload.so",
 		 p->s->options.build);
 	format_path(p, "d", daemon, ".json", settings);
 	format_path(p, "d", daemon, ".log", log);
-	format_path(p, "skew", daemon, "", skew);
-	setenv("SOAK_SKEW", skew, 1);
+	format_path(p, "preload", daemon, "", preload);
+	setenv("SOAK_PRELOAD", preload, 1);
 	setenv("LD_PRELOAD", library, 1);
 	*proc = (struct proc){ .pid = spawn(argv, log),
 			       .incarnation = proc->incarnation + 1,
 			       .skew_ms = proc->skew_ms,
 			       .grace_s = proc->grace_s,
+			       .throttle_ms = proc->throttle_ms,
 			       .peak_kb = proc->peak_kb };
 	unsetenv("LD_PRELOAD");
 }
@@ -173,7 +197,7 @@
 		return err_set(err, ERR_INTERNAL, "cannot start fakeplatform");
 	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
 		p->daemons[i].grace_s = GRACE_S;
-		write_skew(p, i);
+		write_preload(p, i);
 		if (!write_settings(p, i, err))
 			return false;
 		start_daemon(p, i);
@@ -226,9 +250,16 @@
 	if (!proc->pid)
 		return;
 	kill(proc->pid, SIGSTOP);
+	proc->stopped = true;
 	proc->resume_ms = loop_now_ms() + for_ms;
 }
 
+/* Lets a daemon run for a quarter of the time only, for @for_ms. */
+void procs_throttle(struct procs *p, uint32_t daemon, uint32_t for_ms)
+{
+	p->daemons[daemon].throttle_ms = loop_now_ms() + for_ms;
+}
+
 /* Changes grace_s in the settings of a daemon and sends it SIGHUP. */
 void procs_reload(struct procs *p, uint32_t daemon)
 {
@@ -246,7 +277,7 @@
 void procs_set_skew(struct procs *p, uint32_t daemon, int64_t ms)
 {
 	p->daemons[daemon].skew_ms = ms;
-	write_skew(p, daemon);
+	write_preload(p, daemon);
 }
 
 /* Resets clocks; pending resumes and restarts become due at the next tick. */
@@ -258,6 +289,7 @@
 		procs_set_skew(p, i, 0);
 		if (proc->resume_ms)
 			proc->resume_ms = 1;
+		proc->throttle_ms = 0;
 		if (proc->start_ms)
 			proc->start_ms = 1;
 	}
@@ -276,20 +308,35 @@
 			       daemon, (unsigned int)status);
 	proc->pid = 0;
 	proc->resume_ms = 0;
+	proc->stopped = false;
 	if (!proc->start_ms)
 		proc->start_ms = now;
 }
 
+/* Stops or resumes a daemon that is paused or throttled. */
+static void tick_stopped(struct proc *proc, uint64_t now_ms)
+{
+	bool stopped;
+
+	if (now_ms >= proc->resume_ms)
+		proc->resume_ms = 0;
+	stopped = proc->resume_ms ||
+		  (now_ms < proc->throttle_ms &&
+		   now_ms % THROTTLE_PERIOD_MS >= THROTTLE_RUN_MS);
+	if (stopped == proc->stopped)
+		return;
+	kill(proc->pid, stopped ? SIGSTOP : SIGCONT);
+	proc->stopped = stopped;
+}
+
 /* Resumes, kills, reaps and restarts the daemons that are due. */
 void procs_tick(struct procs *p, uint64_t now_ms)
 {
 	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
 		struct proc *proc = &p->daemons[i];
 
-		if (proc->pid && proc->resume_ms && now_ms >= proc->resume_ms) {
-			kill(proc->pid, SIGCONT);
-			proc->resume_ms = 0;
-		}
+		if (proc->pid)
+			tick_stopped(proc, now_ms);
 		if (proc->pid && proc->stopping && now_ms >= proc->kill_ms)
 			kill(proc->pid, SIGKILL);
 		if (proc->pid)
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -15,7 +15,6 @@
 #include "addr.h"
 #include "soak.h"
 
-#define ROUTES_MAX 256
 #define RELAYS_MAX 1024
 #define BACKLOG 64
 #define READ_SIZE 16384
@@ -58,10 +57,10 @@
 
 struct proxy {
 	pthread_mutex_t lock;
-	struct route routes[ROUTES_MAX];
+	struct route routes[SOAK_ROUTES_MAX];
 	uint32_t route_count;
 	struct relay relays[RELAYS_MAX];
-	struct pollfd fds[ROUTES_MAX + RELAYS_MAX * ENDS];
+	struct pollfd fds[SOAK_ROUTES_MAX + RELAYS_MAX * ENDS];
 };
 
 static void queue_clear(struct queue *q)
@@ -287,9 +286,9 @@
 	struct route *route = &p->routes[p->route_count];
 	uint32_t at = UINT32_MAX;
 
-	if (p->route_count == ROUTES_MAX) {
+	if (p->route_count == SOAK_ROUTES_MAX) {
 		err_set(err, ERR_BAD_REQUEST, "more than %u routes",
-			ROUTES_MAX);
+			SOAK_ROUTES_MAX);
 		goto out;
 	}
 	route->listener = addr_listen(addr.data, BACKLOG, err);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,6 +16,7 @@
 
 #define SOAK_DAEMONS_MAX 64
 #define SOAK_MINIONS_MAX 64
+#define SOAK_ROUTES_MAX 512
 #define SOAK_HOST "jobs.example"
 
 struct soak_options {
@@ -26,12 +27,14 @@
 	uint32_t daemons;
 	uint32_t minions;
 	uint32_t base_port;
+	bool basic; /* no series of faults, see plan.c */
 };
 
 /* Offsets from the base port. */
 enum soak_port {
 	PORT_STORE = 0, /* +1: advice service, from +3: minions */
-	PORT_MINION_PROXY = 100,
+	PORT_MINION_PROXY = 70,
+	PORT_MINION_PROXY_2 = 134, /* for the daemons of the second group */
 	PORT_DAEMONS = 200
 };
 
@@ -44,6 +47,7 @@
 	DAEMON_PEERS_PROXY,
 	DAEMON_STORE_PROXY,
 	DAEMON_ADVICE_PROXY,
+	DAEMON_PEERS_PROXY_2, /* for the daemons of the second group */
 	DAEMON_PORTS
 };
 
@@ -64,6 +68,8 @@
 uint32_t soak_daemon_port(const struct soak *s, uint32_t daemon,
 			  enum daemon_port port);
 uint32_t soak_random(struct soak *s, uint32_t below);
+bool soak_daemon_in_group_2(uint32_t daemon);
+bool soak_minion_in_group_2(uint32_t minion);
 void soak_log(const struct soak *s, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 void soak_violation(struct soak *s, const char *fmt, ...)
@@ -95,6 +101,7 @@
 bool procs_open(struct procs *p, struct err *err);
 void procs_kill(struct procs *p, uint32_t daemon, int signal, uint32_t down_ms);
 void procs_pause(struct procs *p, uint32_t daemon, uint32_t for_ms);
+void procs_throttle(struct procs *p, uint32_t daemon, uint32_t for_ms);
 void procs_reload(struct procs *p, uint32_t daemon);
 void procs_set_skew(struct procs *p, uint32_t daemon, int64_t ms);
 void procs_heal(struct procs *p);
