--- a/tests/process/52-cell-term-validity.sh
+++ b/tests/process/53-cell-term-validity.sh
@@ -5,7 +5,7 @@
 set -u
 . tests/process/lib.sh
 . tests/process/cell.sh
-cell_open 52-cell-term-validity 29400
+cell_open 53-cell-term-validity 29400
 
 # store_down true|false: for all daemons; the minions still answer.
 store_down() {
