Adopt the runs of a job that becomes known after they were reported

Cause: a daemon that has not heard of the claim yet stores a job and tells the former holder, which starts it. The successor has listed the jobs before that, so the first report of the minion lists a run of an unknown job, and the minion counts as settled. When the job becomes known a moment later, nothing connected it with that run until the next report, up to 1.5 s later: the task started again beside the run, or after its end.

A job that becomes known adopts the runs that minions have reported. Takeover.RunOfAJobThatBecomesKnownIsNotStartedBeside failed before (two starts instead of one).

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -362,6 +362,7 @@
 void cell_job_fail(struct cell *cell, struct cell_job *job, uint64_t now_ms);
 bool cell_step_exhausted(struct cell *cell, struct cell_step *step,
 			 const struct cell_queue_spec *queue, uint64_t now_ms);
+bool cell_job_has_task(const struct cell_job *job, const char *task);
 void cell_job_stop_runs(struct cell *cell, struct cell_job *job,
 			uint64_t now_ms);
 void cell_gang_abort(struct cell *cell, struct cell_step *step, uint64_t run,
@@ -400,6 +401,8 @@
 			uint64_t now_ms);
 uint64_t cell_minion_renew_lease(struct cell *cell, struct cell_minion *m,
 				 uint64_t now_ms);
+void cell_adopt_runs(struct cell *cell, const struct cell_job *job,
+		     uint64_t now_ms);
 void cell_minions_tick(struct cell *cell, uint64_t now_ms);
 void cell_minions_free(struct cell *cell);
 struct cell_minion *cell_minion_inherit(struct cell *cell, const char *id,
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -299,6 +299,7 @@
 		occurrence_add(cell, job, 0, now_ms);
 	else
 		cell->recurring_jobs++;
+	cell_adopt_runs(cell, job, now_ms);
 	return true;
 }
 
@@ -412,20 +413,25 @@
 	occurrences_free(cell, job);
 }
 
+/* Returns true if @task is the name of a task of the job. */
+bool cell_job_has_task(const struct cell_job *job, const char *task)
+{
+	size_t len = strlen(job->spec.id);
+
+	return !strncmp(task, job->spec.id, len) && task[len] == '.';
+}
+
 /* Stops every run of a job. */
 void cell_job_stop_runs(struct cell *cell, struct cell_job *job,
 			uint64_t now_ms)
 {
-	size_t len = strlen(job->spec.id);
-
 	for (uint32_t i = 0; i < cell->minion_count; i++) {
 		struct cell_minion *m = cell->minions[i];
 
 		for (uint32_t r = 0; m->used && r < m->run_count; r++) {
 			struct cell_run *run = &m->runs[r];
 
-			if (!strncmp(run->task, job->spec.id, len) &&
-			    run->task[len] == '.')
+			if (cell_job_has_task(job, run->task))
 				cell_run_stop(cell, m, run, now_ms);
 		}
 	}
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -599,6 +599,33 @@
 	cell_run_stop(cell, m, run, now_ms);
 }
 
+/* Adopts the runs of a job that were reported before it became known. */
+void cell_adopt_runs(struct cell *cell, const struct cell_job *job,
+		     uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < cell->minion_count; i++) {
+		struct cell_minion *m = cell->minions[i];
+		uint32_t k = 0;
+
+		while (m->used && k < m->run_count) {
+			struct cell_run run = m->runs[k];
+			struct cell_running row = { .run = run.run,
+						    .load = run.load };
+			struct cell_step *step;
+
+			if (!run.job_unknown ||
+			    !cell_job_has_task(job, run.task)) {
+				k++;
+				continue;
+			}
+			memcpy(row.task, run.task, sizeof(row.task));
+			cell_run_remove(cell, m, k);
+			cell_task_of_run(cell, row.task, &step, now_ms);
+			adopt_run(cell, m, &row, now_ms);
+		}
+	}
+}
+
 static void handle_running(struct cell *cell, struct cell_minion *m,
 			   const struct cell_running *row, uint64_t now_ms)
 {
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -165,3 +165,18 @@
 	ASSERT_TRUE(cell_poll_request(f.cell, 0, &poll, f.now));
 	EXPECT_EQ(poll.observed, 2U);
 }
+
+TEST(Takeover, RunOfAJobThatBecomesKnownIsNotStartedBeside)
+{
+	CellFixture f;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(2, 8000);
+	f.report(0, "m0", { { "j.0.0.0", 11, "" } }, {});
+	f.tick(100);
+	f.submit(CellFixture::job("j", "q", 2, 1000), false);
+	f.tick(100);
+	ASSERT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.starts[0].task, "j.0.0.1");
+}
