Restart work of a lost minion only on durable and confirmed grounds

Batches are written side by side: if the earlier one is lost with its holder, the successor neither knows the end nor waits for the minion, and starts the task again. A minion is settled only once its own records are durable. - A former holder that does not know of the claim yet saw its own lease on a minion end, which the successor had renewed, and started the tasks elsewhere.

Takeover.DrainedMinionIsNotLeftToTheSuccessor (extended), MinionThatLeavesWhileItEnrollsIsNotLeftToTheSuccessor and FormerHolderDoesNotRestartATaskWhoseLeaseItSeesEnd failed before. DrainingMinionOfAnEarlierTermIsNotSettledUnheard guards a condition that no test covered.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -96,6 +96,8 @@
 	uint32_t pending_records; /* records not yet durable */
 	uint64_t cancel_seq;
 	uint64_t deadline_unix_ms; /* of the service level objective */
+	/* Nothing starts before the term is confirmed as of later, 0: none. */
+	uint64_t confirm_after_ms;
 	uint64_t added_ms;
 	uint64_t ended_ms;
 	bool inherited; /* an earlier holder may have started runs */
@@ -181,6 +183,7 @@
 	uint64_t anchor_ms;
 	/* Latest possible expiry of this and earlier terms, our clock. */
 	uint64_t lease_until_ms;
+	uint64_t record_seq;	   /* its latest record, but SETTLED */
 	uint64_t last_end_handled; /* highest end number applied */
 	uint64_t last_end_durable; /* highest end number made durable */
 	double fail_score;
@@ -301,8 +304,9 @@
 	uint64_t minions_tick_ms; /* latest tick of the minions */
 	bool minions_due;	  /* the next tick must not wait */
 	uint32_t unsettled;
-	double losses;	    /* minions lost of late, decaying */
-	uint64_t losses_ms; /* when the count was updated */
+	uint64_t lease_ended_ms; /* when a minion was last settled by time */
+	double losses;		 /* minions lost of late, decaying */
+	uint64_t losses_ms;	 /* when the count was updated */
 	struct cell_contained *contained;
 	uint32_t contained_count;
 	uint32_t contained_active;
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -280,6 +280,7 @@
 	*spec = (struct cell_job_spec){ 0 };
 	job->state = CELL_JOB_QUEUED;
 	job->inherited = !is_new;
+	job->confirm_after_ms = is_new ? 0 : now_ms;
 	job->added_ms = now_ms;
 	if (cell->config)
 		queue = cell_queue(cell, job->spec.queue);
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -234,11 +234,12 @@
 	if (m->enrolled || m->enrolling || !m->contacted || m->drain_ms)
 		return;
 	m->enrolling = true;
-	cell_record_add(cell,
-			&(struct cell_record){ .kind = CELL_RECORD_ENROLLED,
-					       .minion = m->info.id,
-					       .addr = m->info.addr },
-			NULL, m, 0, now_ms);
+	m->record_seq = cell_record_add(
+		cell,
+		&(struct cell_record){ .kind = CELL_RECORD_ENROLLED,
+				       .minion = m->info.id,
+				       .addr = m->info.addr },
+		NULL, m, 0, now_ms);
 }
 
 /*
@@ -482,8 +483,8 @@
 		job = cell_job_find(cell, name.job);
 	if (job)
 		job->pending_records++;
-	cell_record_add(cell, &record, job ? name.job : NULL, m, end->number,
-			now_ms);
+	m->record_seq = cell_record_add(cell, &record, job ? name.job : NULL, m,
+					end->number, now_ms);
 }
 
 /* Returns true if a job that was unknown at @since_ms no longer exists. */
@@ -894,6 +895,38 @@
 	}
 }
 
+/*
+ * Settles a minion that does not respond, as its last lease has ended. If this
+ * term has ended as well, a successor may have renewed the lease, so its tasks
+ * wait for a later confirmation of the term.
+ */
+static void settle_by_time(struct cell *cell, struct cell_minion *m,
+			   const char *why, uint64_t now_ms)
+{
+	struct cell_task_name name;
+	struct cell_job *job;
+
+	cell->lease_ended_ms = now_ms;
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		if (!cell_task_parse(m->runs[i].task, &name))
+			continue;
+		job = cell_job_find(cell, name.job);
+		if (job)
+			job->confirm_after_ms = now_ms;
+	}
+	minion_settle(cell, m, why, now_ms);
+}
+
+/*
+ * Returns true if the ends of all runs on the minion are durable: a successor
+ * that finds the minion settled would start their tasks again.
+ */
+static bool records_durable(const struct cell *cell,
+			    const struct cell_minion *m)
+{
+	return cell->durable_seq >= m->record_seq;
+}
+
 static void tick_minion(struct cell *cell, struct cell_minion *m,
 			uint64_t now_ms)
 {
@@ -905,16 +938,19 @@
 			cell_minion_blame(cell, m, now_ms);
 		else
 			cell_minion_clear_runs(cell, m, now_ms);
-		minion_settle(cell, m, "lease ended", now_ms);
+		settle_by_time(cell, m, "lease ended", now_ms);
 	}
 	/* A successor need not wait for a minion that is about to leave. */
-	if (m->drain_ms && m->enrolled && !m->inherited && !m->run_count)
+	if (m->drain_ms && m->enrolled && !m->inherited && !m->run_count &&
+	    records_durable(cell, m))
 		minion_settle(cell, m, "drained", now_ms);
 	minion_enroll(cell, m, now_ms);
 	if (m->inherited && !leased && (!m->contacted || m->failing))
-		minion_settle(cell, m, "leases of earlier terms ended", now_ms);
+		settle_by_time(cell, m, "leases of earlier terms ended",
+			       now_ms);
 	if (!m->listed && cell->minions_listed && !m->run_count &&
-	    !m->inherited && now_ms > m->unlisted_ms + UNLISTED_TIMEOUT_MS) {
+	    !m->inherited && records_durable(cell, m) &&
+	    now_ms > m->unlisted_ms + UNLISTED_TIMEOUT_MS) {
 		if (m->enrolled)
 			minion_settle(cell, m, "left", now_ms);
 		if (!m->polls_in_flight) {
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -394,10 +394,11 @@
 {
 	const struct cell_job *job = entry->step->job;
 
-	if (!job->inherited)
-		return true;
-	return !cell->unsettled && cell->minions_listed &&
-	       cell->confirmed_ms > job->added_ms;
+	if (job->confirm_after_ms &&
+	    cell->confirmed_ms <= job->confirm_after_ms)
+		return false;
+	return !job->inherited || (!cell->unsettled && cell->minions_listed &&
+				   cell->confirmed_ms > cell->lease_ended_ms);
 }
 
 /* Suspects with the fewest crashes first. */
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -106,6 +106,10 @@
 	f.report(0, "m0", {},
 		 { { 1, "j.0.0.0", f.starts[0].run, CELL_END_DONE, "" } });
 	f.tick(10);
+	/* Its end is not durable. */
+	EXPECT_TRUE(f.settled.empty());
+	f.durable();
+	f.tick(10);
 	EXPECT_EQ(f.settled, std::vector<std::string>{ "m0" });
 	f.report(0, "m0", {}, {});
 	f.durable();
@@ -180,3 +184,57 @@
 	ASSERT_EQ(f.starts.size(), 1U);
 	EXPECT_EQ(f.starts[0].task, "j.0.0.1");
 }
+
+TEST(Takeover, DrainingMinionOfAnEarlierTermIsNotSettledUnheard)
+{
+	Takeover f;
+	struct cell_minion_info m0 = CellFixture::minion("m0", 8000);
+
+	m0.draining = true;
+	cell_set_minions(f.cell, &m0, 1, f.now);
+	f.silence(0, "m0", PREDECESSOR_LEASE_MS - 200);
+	EXPECT_TRUE(f.settled.empty());
+}
+
+TEST(Takeover, MinionThatLeavesWhileItEnrollsIsNotLeftToTheSuccessor)
+{
+	CellFixture f;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.list(1, 8000);
+	f.report(0, "m0", {}, {});
+	cell_set_minions(f.cell, nullptr, 0, f.now);
+	f.tick(4000);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.settled, std::vector<std::string>{ "m0" });
+}
+
+TEST(Takeover, FormerHolderDoesNotRestartATaskWhoseLeaseItSeesEnd)
+{
+	CellFixture f;
+	uint64_t confirmed;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(2, 8000);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, f.starts[0].minion, "j.0.0.0", f.starts[0].run,
+		      CELL_OK, f.now);
+	cell_on_poll_failed(f.cell, f.starts[0].minion,
+			    f.starts[0].minion_id.c_str(), CELL_NO_ANSWER,
+			    f.now);
+	confirmed = f.now + 5000;
+	cell_set_term_valid(f.cell, true, confirmed);
+	for (int i = 0; i < 70; i++) {
+		f.tick(100);
+		f.durable();
+	}
+	EXPECT_EQ(f.starts.size(), 1U);
+	cell_set_term_valid(f.cell, true, f.now);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
