Count a renewed lease from the tick that found the term valid

Validity is checked once a tick, and leases were renewed by the clock at each poll of the same tick. A holder that is paused within a tick, after the check, renewed leases from its waking on at minions that its successor does not reach, beyond the time that the successor waits.

Takeover.HolderThatWasPausedInATickRenewsNoLeaseFromLater failed before (a deadline 10 s later) and passes now. Starts used the time of the tick already.

--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -129,6 +129,7 @@
 	if (cell->replaying)
 		return;
 	cell->unix_ms = unix_ms;
+	cell->tick_ms = now_ms;
 	cell_jobs_add_due(cell, unix_ms, now_ms);
 	cell_minions_tick(cell, now_ms);
 	if (now_ms >= cell->next_purge_ms) {
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -289,6 +289,7 @@
 	uint64_t started_ms;
 	bool valid;	       /* the term may start runs and renew leases */
 	uint64_t confirmed_ms; /* no later term had begun then */
+	uint64_t tick_ms;      /* latest tick, for which that was set */
 	bool minions_listed;
 	bool replaying;
 	bool dirty; /* a scheduling pass is needed */
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -202,7 +202,8 @@
 
 /*
  * Fills in the next poll request for a minion, and renews its lease if the term
- * is valid. Returns false if there is no such minion.
+ * is valid, counted from the tick that found it valid: the process may have
+ * been paused since. Returns false if there is no such minion.
  */
 bool cell_poll_request(struct cell *cell, uint32_t minion,
 		       struct cell_poll *out, uint64_t now_ms)
@@ -223,7 +224,8 @@
 	m->poll_sent_ms = now_ms;
 	m->poll_wait_ms = out->wait_ms;
 	if (cell->valid && m->clock_known)
-		out->deadline_ms = cell_minion_renew_lease(cell, m, now_ms);
+		out->deadline_ms =
+			cell_minion_renew_lease(cell, m, cell->tick_ms);
 	return true;
 }
 
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -238,3 +238,19 @@
 	f.tick(100);
 	EXPECT_EQ(f.starts.size(), 2U);
 }
+
+TEST(Takeover, HolderThatWasPausedInATickRenewsNoLeaseFromLater)
+{
+	CellFixture f;
+	struct cell_poll poll;
+	uint64_t deadline;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	ASSERT_TRUE(cell_poll_request(f.cell, 0, &poll, f.now));
+	deadline = poll.deadline_ms;
+	ASSERT_GT(deadline, 0U);
+	ASSERT_TRUE(cell_poll_request(f.cell, 0, &poll, f.now + 10000));
+	EXPECT_EQ(poll.deadline_ms, deadline);
+}
