--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -11,6 +11,12 @@
 #include "soak.h"
 
 #define FAULT_GAP_MAX_MS 1400 /* between the starts of two faults */
+/*
+ * Beside series, every other phase has few single faults: a holder that is
+ * replaced every second gives up no minion.
+ */
+#define FAULT_GAP_SPARSE_MAX_MS 8000
+#define PHASE_MS 10000
 #define FAULT_MIN_MS 300
 #define FAULT_MAX_MS 6000
 /* One in this many faults of a daemon is directed at the current holder. */
@@ -662,6 +668,14 @@
 		p->holder = daemon;
 }
 
+static uint32_t fault_gap(const struct plan *p, uint64_t now_ms)
+{
+	uint64_t phase = (now_ms - p->s->began_ms) / PHASE_MS;
+
+	return p->s->options.basic || phase % 2 ? FAULT_GAP_MAX_MS
+						: FAULT_GAP_SPARSE_MAX_MS;
+}
+
 /* Starts and ends the faults that are due. */
 void plan_tick(struct plan *p, uint64_t now_ms)
 {
@@ -673,7 +687,8 @@
 		soak_platform_send(p->s, "GET", "/holder", NULL, on_holder, p);
 	}
 	if (now_ms >= p->next_fault_ms) {
-		p->next_fault_ms = now_ms + soak_random(p->s, FAULT_GAP_MAX_MS);
+		p->next_fault_ms =
+			now_ms + soak_random(p->s, fault_gap(p, now_ms));
 		start_action(p, actions, ACTION_COUNT);
 	}
 	if (!p->s->options.basic && now_ms >= p->next_series_ms) {
