--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -304,7 +304,7 @@
 	ctr_set(ctr_gauge("jaycelld_minions", "Minions that are listed."),
 		stats.minions);
 	ctr_set(ctr_gauge("jaycelld_unsettled_minions",
-			  "Minions of earlier terms that are not heard yet."),
+			  "Minions of earlier terms that have not reported."),
 		stats.unsettled);
 	ctr_set(ctr_gauge("jaycelld_failing_minions",
 			  "Minions that are listed and do not respond."),
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -312,7 +312,7 @@
 
 /*
  * Settles a minion: nothing runs on it, and no start that was sent earlier can
- * take effect there.
+ * take effect there, except in the next life of one that restarts meanwhile.
  */
 static void minion_settle(struct cell *cell, struct cell_minion *m,
 			  const char *why, uint64_t now_ms)
