--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -145,7 +145,7 @@
 			       const struct cell_advice_request *q);
 void links_send_release(struct links *links);
 uint32_t links_followers(const struct links *links);
-uint32_t links_lost_followers(const struct links *links, uint64_t as_of_ms);
+uint32_t links_lost_followers(const struct links *links, uint64_t at_ms);
 uint32_t links_missing(const struct links *links, uint64_t store_ms);
 bool links_alone(const struct links *links);
 uint64_t links_acknowledged_ms(const struct links *links, uint64_t term);
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -558,22 +558,21 @@
 		link_reject(link, FRAME_MALFORMED, "unexpected frame");
 }
 
-static bool is_lost(const struct follower *f, uint64_t as_of_ms)
+static bool is_lost(const struct follower *f, uint64_t at_ms)
 {
-	return f->name[0] && !f->link &&
-	       as_of_ms < f->lost_ms + LOST_FOLLOWER_MS;
+	return f->name[0] && !f->link && at_ms < f->lost_ms + LOST_FOLLOWER_MS;
 }
 
 /*
  * Returns the number of followers lost since LOST_FOLLOWER_MS before
- * @as_of_ms.
+ * @at_ms.
  */
-uint32_t links_lost_followers(const struct links *l, uint64_t as_of_ms)
+uint32_t links_lost_followers(const struct links *l, uint64_t at_ms)
 {
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < l->follower_count; i++)
-		n += is_lost(&l->followers[i], as_of_ms);
+		n += is_lost(&l->followers[i], at_ms);
 	return n;
 }
 
@@ -637,7 +636,7 @@
 
 static void add_follower(struct links *l, struct link *link)
 {
-	uint64_t as_of = terms_token(l->d->terms) ? terms_store_ms(l->d->terms)
+	uint64_t at_ms = terms_token(l->d->terms) ? terms_store_ms(l->d->terms)
 						  : loop_now_ms();
 	uint32_t i = 0;
 
@@ -647,7 +646,7 @@
 	if (i < l->follower_count && l->followers[i].link)
 		link_close(l->followers[i].link, "replaced");
 	for (uint32_t k = 0; i == l->follower_count && k < i; k++) {
-		if (!l->followers[k].link && !is_lost(&l->followers[k], as_of))
+		if (!l->followers[k].link && !is_lost(&l->followers[k], at_ms))
 			i = k;
 	}
 	if (i == FOLLOWERS_MAX) {
--- a/lib/cell/term.c
+++ b/lib/cell/term.c
@@ -2,7 +2,7 @@
 
 #include <stddef.h>
 
-/* A holder is alive if it was last heard from within this time, in ms. */
+/* A holder is alive if its latest message is not older than this, in ms. */
 #define HOLDER_SILENCE_MAX_MS 500
 /* Maximum age of the latest store call of a healthy holder, in ms. */
 #define HOLDER_STORE_AGE_MAX_MS 700
--- a/tests/links_test.cc
+++ b/tests/links_test.cc
@@ -474,7 +474,7 @@
 	EXPECT_FALSE(c.valid());
 }
 
-/* Guards against work that ends in an outage in which nobody can take over. */
+/* Guards against work that ends in an outage in which no daemon takes over. */
 TEST(Links, HolderStaysValidWhileAllFollowersAcknowledgeTheTerm)
 {
 	CellOfThree c;
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -446,7 +446,7 @@
 	return SERIES_MIN_MS + soak_random(p->s, SERIES_MAX_MS - SERIES_MIN_MS);
 }
 
-/* Ends the term of the holder: killed, stopped for a while, or told to end. */
+/* Ends the term of the holder: killed, stopped for a while, or by SIGTERM. */
 static void change_holder(struct plan *p)
 {
 	uint32_t kind = soak_random(p->s, 5);
