Count the daemons of earlier terms after a restart of the holder

Cause, from the log: d1 restarted while two groups of daemons did not reach each other, and took its earlier term up again. Its memory of followers was gone, and only the three of its group connected. Then it lost the store; a daemon of the other group claimed and completed the job. At 36.722, 1.05 s after that claim, d1 counted its term as valid again: acknowledged by followers=3, missing=0.

The holder stores the names of the daemons that it knows, under the condition of its term and at most once a second when they change. A new holder counts those of the list as lost until they connect. A daemon that was lost a minute before the latest confirmation by the store leaves the list.

Links.DaemonsOfEarlierTermsCountUntilTheyConnect failed without the use of the list (0 daemons missing instead of 1, and a valid term).

The fakes of two tests tell writes apart by their key, as there is a second one.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -27,6 +27,7 @@
 #define CD_TERM_PREFIX CD_PREFIX "term/"
 #define CD_HOLDER_KEY CD_TERM_PREFIX "holder"
 #define CD_LIVE_KEY CD_TERM_PREFIX "live"
+#define CD_DAEMONS_KEY CD_TERM_PREFIX "daemons"
 #define CD_JOB_PREFIX CD_PREFIX "job/"
 #define CD_JOURNAL_PREFIX CD_PREFIX "journal/"
 
@@ -149,7 +150,8 @@
 uint32_t links_missing(const struct links *links, uint64_t store_ms);
 bool links_alone(const struct links *links);
 uint64_t links_acknowledged_ms(const struct links *links, uint64_t term);
-void links_expect(struct links *links, const char *former);
+void links_expect(struct links *links, const char *former, const char *names);
+struct buf links_daemons(const struct links *links, uint64_t store_ms);
 void links_report_lanes(struct links *links);
 void links_broadcast_holder(struct links *links, uint64_t term,
 			    const char *addr);
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -618,41 +618,101 @@
 }
 
 /*
- * A term of this daemon begins. The holder before, at address @former if there
- * was one, counts as missing until it connects.
+ * Returns the slot of the daemon @name, else a free one, which may be behind
+ * the last, or FOLLOWERS_MAX. @at_ms as in is_lost().
  */
-void links_expect(struct links *l, const char *former)
+static uint32_t slot_for(const struct links *l, const char *name,
+			 uint64_t at_ms)
 {
-	if (!former[0])
+	for (uint32_t i = 0; i < l->follower_count; i++) {
+		if (!strcmp(l->followers[i].name, name))
+			return i;
+	}
+	for (uint32_t i = 0; i < l->follower_count; i++) {
+		if (!l->followers[i].link && !is_lost(&l->followers[i], at_ms))
+			return i;
+	}
+	return l->follower_count;
+}
+
+/* Counts a daemon as lost from now on, unless it is connected. */
+static void expect_daemon(struct links *l, const char *name, uint64_t now)
+{
+	uint32_t i = slot_for(l, name, now);
+
+	if (i == FOLLOWERS_MAX || l->followers[i].link)
 		return;
+	if (i == l->follower_count)
+		l->follower_count++;
+	snprintf(l->followers[i].name, sizeof(l->followers[i].name), "%s",
+		 name);
+	l->followers[i].lost_ms = now;
+}
+
+static bool is_connected(const struct links *l, const char *addr)
+{
 	for (uint32_t i = 0; i < l->follower_count; i++) {
 		if (l->followers[i].link &&
-		    !strcmp(l->followers[i].link->peer.addr, former))
-			return;
+		    !strcmp(l->followers[i].link->peer.addr, addr))
+			return true;
 	}
+	return false;
+}
+
+/*
+ * A term of this daemon begins. The holder before, at address @former if there
+ * was one, and the daemons @names of earlier terms, as links_daemons() returns
+ * them, count as missing until they connect.
+ */
+void links_expect(struct links *l, const char *former, const char *names)
+{
+	uint64_t now = loop_now_ms();
+	struct buf copy = buf_str(names);
+	char *save = NULL;
+	char *name = copy.len ? strtok_r(copy.data, " ", &save) : NULL;
+
+	for (; name; name = strtok_r(NULL, " ", &save)) {
+		if (strcmp(name, l->d->conf.name) != 0)
+			expect_daemon(l, name, now);
+	}
+	buf_free(&copy);
+	if (!former[0] || is_connected(l, former))
+		return;
 	snprintf(l->former_addr, sizeof(l->former_addr), "%s", former);
-	l->expected_ms = loop_now_ms();
+	l->expected_ms = now;
+}
+
+/*
+ * Returns the names of the known daemons, this one first, separated by spaces;
+ * the caller frees it. @store_ms as in links_missing().
+ */
+struct buf links_daemons(const struct links *l, uint64_t store_ms)
+{
+	struct buf names = buf_str(l->d->conf.name);
+
+	for (uint32_t i = 0; i < l->follower_count; i++) {
+		const struct follower *f = &l->followers[i];
+
+		if (!f->link && !is_lost(f, store_ms))
+			continue;
+		buf_append(&names, " ", 1);
+		buf_append(&names, f->name, strlen(f->name));
+	}
+	return names;
 }
 
 static void add_follower(struct links *l, struct link *link)
 {
 	uint64_t at_ms = terms_token(l->d->terms) ? terms_store_ms(l->d->terms)
 						  : loop_now_ms();
-	uint32_t i = 0;
+	uint32_t i = slot_for(l, link->peer.id, at_ms);
 
-	while (i < l->follower_count &&
-	       strcmp(l->followers[i].name, link->peer.id) != 0)
-		i++;
-	if (i < l->follower_count && l->followers[i].link)
-		link_close(l->followers[i].link, "replaced");
-	for (uint32_t k = 0; i == l->follower_count && k < i; k++) {
-		if (!l->followers[k].link && !is_lost(&l->followers[k], at_ms))
-			i = k;
-	}
 	if (i == FOLLOWERS_MAX) {
 		link_close(link, "too many followers");
 		return;
 	}
+	if (i < l->follower_count && l->followers[i].link)
+		link_close(l->followers[i].link, "replaced");
 	if (i == l->follower_count)
 		l->follower_count++;
 	l->followers[i].generation = (l->followers[i].generation + 1) & 0xffff;
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -25,6 +25,8 @@
  * this long.
  */
 #define CONFIRM_INTERVAL_MS 500
+/* Interval at which the holder updates the list of daemons, if it differs. */
+#define DAEMONS_INTERVAL_MS 1000
 /* As above, while the scheduler waits for a confirmation. */
 #define CONFIRM_REQUESTED_MS 100
 /* The store is healthy if it served a call within this time. */
@@ -68,6 +70,10 @@
 	uint64_t confirm_sent_ms;
 	uint64_t confirm_after_ms; /* as last requested */
 	bool confirming;
+	struct buf daemons; /* list in the store, as links_daemons() */
+	struct buf daemons_sent;
+	bool daemons_writing;
+	uint64_t daemons_ms; /* when it is compared next */
 	uint64_t started_ms; /* of this process */
 	uint64_t lease_id;
 	uint32_t lease_ttl_ms; /* as requested for lease_id */
@@ -229,7 +235,9 @@
 	t->lease_id = 0;
 	t->renew_ms = 0;
 	t->claim_due_ms = 0;
-	links_expect(t->d->links, t->former);
+	t->daemons_ms = t->began_ms + DAEMONS_INTERVAL_MS;
+	links_expect(t->d->links, t->former,
+		     t->daemons.len ? t->daemons.data : "");
 	cd_start_term(t->d, token);
 }
 
@@ -277,6 +285,12 @@
 	rpc_holder_changed(t->d->rpc);
 }
 
+static void set_daemons(struct terms *t, const char *names, size_t len)
+{
+	buf_free(&t->daemons);
+	t->daemons = buf_copy(names, len);
+}
+
 static void apply_items(struct terms *t, const struct pf_reply *reply)
 {
 	for (uint32_t i = 0; i < reply->count; i++) {
@@ -286,6 +300,8 @@
 			apply_holder(t, item);
 		else if (!strcmp(item->key, CD_LIVE_KEY))
 			t->lease_live = item->value != NULL;
+		else if (!strcmp(item->key, CD_DAEMONS_KEY) && item->value)
+			set_daemons(t, item->value, item->value_len);
 	}
 }
 
@@ -519,6 +535,44 @@
 	       now > t->confirm_sent_ms + interval;
 }
 
+static void on_daemons_written(void *ctx, const struct pf_reply *reply)
+{
+	struct terms *t = ctx;
+
+	t->daemons_writing = false;
+	if (reply->status == PF_OK)
+		set_daemons(t, t->daemons_sent.data, t->daemons_sent.len);
+}
+
+/*
+ * Stores the list of known daemons, if it has changed. A later holder counts
+ * them as missing until they connect, also after a restart.
+ */
+static void list_daemons(struct terms *t, uint64_t now)
+{
+	struct pf_txn txn = { .condition_count = 1, .put_count = 1 };
+	struct buf names;
+
+	if (t->daemons_writing || now < t->daemons_ms)
+		return;
+	t->daemons_ms = now + DAEMONS_INTERVAL_MS;
+	names = links_daemons(t->d->links, t->store_ms);
+	if (t->daemons.len == names.len &&
+	    !memcmp(t->daemons.data, names.data, names.len)) {
+		buf_free(&names);
+		return;
+	}
+	buf_free(&t->daemons_sent);
+	t->daemons_sent = names;
+	t->daemons_writing = true;
+	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
+						   .revision = t->token };
+	txn.puts[0] = (struct pf_put){ .key = CD_DAEMONS_KEY,
+				       .value = names.data,
+				       .len = names.len };
+	pf_commit(t->d->store, &txn, CALL_TIMEOUT_MS, on_daemons_written, t);
+}
+
 static void maintain_term(struct terms *t, uint64_t now)
 {
 	uint32_t ttl_ms = t->d->holder && holder_settled(t->d->holder, now)
@@ -538,6 +592,7 @@
 				       CALL_TIMEOUT_MS, on_lease_renewed, t);
 		}
 	}
+	list_daemons(t, now);
 	if (!t->confirming && is_confirmation_due(t, now)) {
 		t->confirming = true;
 		t->confirm_sent_ms = now;
--- a/tests/links_test.cc
+++ b/tests/links_test.cc
@@ -33,6 +33,7 @@
 	std::vector<Call> commits;
 	std::vector<Call> gets;
 	std::string claimed;
+	std::string listed; /* daemons, as last written */
 };
 
 struct timespec skew; /* of CLOCK_BOOTTIME */
@@ -85,8 +86,18 @@
 void pf_commit(struct pf_store *store, const struct pf_txn *txn, uint32_t,
 	       pf_done done, void *ctx)
 {
-	of(store)->claimed.assign(static_cast<const char *>(txn->puts[0].value),
-				  txn->puts[0].len);
+	std::string value(static_cast<const char *>(txn->puts[0].value),
+			  txn->puts[0].len);
+	struct pf_reply reply = {};
+
+	if (!strcmp(txn->puts[0].key, CD_DAEMONS_KEY)) {
+		reply.status = of(store)->store_serves ? PF_OK : PF_UNKNOWN;
+		if (of(store)->store_serves)
+			of(store)->listed = value;
+		done(ctx, &reply);
+		return;
+	}
+	of(store)->claimed = value;
 	of(store)->commits.push_back({ done, ctx });
 }
 
@@ -183,21 +194,26 @@
 {
 
 void answer(std::vector<Call> *calls, uint64_t revision,
-	    const std::string &value, enum pf_status status = PF_OK)
+	    const std::string &value, enum pf_status status = PF_OK,
+	    const std::string &daemons = "")
 {
 	std::vector<Call> due;
-	struct pf_item item = {};
+	struct pf_item items[2] = {};
 	struct pf_reply reply = {};
 
-	item.key = CD_HOLDER_KEY;
-	item.value = value.c_str();
-	item.value_len = value.size();
-	item.revision = revision;
+	items[0].key = CD_HOLDER_KEY;
+	items[0].value = value.c_str();
+	items[0].value_len = value.size();
+	items[0].revision = revision;
+	items[1].key = CD_DAEMONS_KEY;
+	items[1].value = daemons.c_str();
+	items[1].value_len = daemons.size();
+	items[1].revision = revision;
 	reply.status = status;
 	reply.revision = revision;
 	reply.read_revision = revision;
-	reply.count = value.empty() ? 0 : 1;
-	reply.items = &item;
+	reply.count = daemons.empty() ? !value.empty() : 2;
+	reply.items = items;
 	due.swap(*calls);
 	for (const Call &call : due)
 		call.done(call.ctx, &reply);
@@ -293,10 +309,14 @@
 			answer(&x->gets, TERM, x->claimed);
 	}
 
-	/* Makes @x the holder; @former is the holder key before, if any. */
-	void lead(Daemon *x, const std::string &former)
+	/*
+	 * Makes @x the holder; @former is the holder key before, if any, and
+	 * @daemons the list of daemons in the store.
+	 */
+	void lead(Daemon *x, const std::string &former,
+		  const std::string &daemons = "")
 	{
-		answer(&x->ranges, TERM - 1, former);
+		answer(&x->ranges, TERM - 1, former, PF_OK, daemons);
 		run_until_claim(x);
 		answer(&x->commits, TERM, "");
 	}
@@ -488,3 +508,34 @@
 	c.run(1700);
 	EXPECT_FALSE(c.valid());
 }
+
+/* Guards against a holder that restarts on its side of a cut. */
+TEST(Links, DaemonsOfEarlierTermsCountUntilTheyConnect)
+{
+	Cell c;
+	Daemon *holder = c.add("d1");
+	Daemon *follower = c.add("d2");
+
+	c.lead(holder,
+	       "d1 " + std::string(holder->d.conf.peers_address) + " other",
+	       "d1 d2 d3");
+	c.follow(follower, holder);
+	c.run(3000);
+	ASSERT_EQ(links_followers(holder->d.links), 1U);
+	EXPECT_EQ(links_missing(holder->d.links, loop_now_ms()), 1U);
+	c.store_down();
+	c.run(2000);
+	EXPECT_FALSE(terms_check(holder->d.terms, loop_now_ms()));
+}
+
+TEST(Links, HolderListsTheDaemonsThatItKnows)
+{
+	CellOfThree c;
+
+	EXPECT_EQ(c.holder->listed, "d1 d2 d3");
+	c.third->running = false;
+	c.run(4000);
+	EXPECT_EQ(c.holder->listed, "d1 d2 d3");
+	c.run(62000);
+	EXPECT_EQ(c.holder->listed, "d1 d2");
+}
--- a/tests/terms_test.cc
+++ b/tests/terms_test.cc
@@ -51,6 +51,8 @@
 void pf_commit(struct pf_store *, const struct pf_txn *txn, uint32_t,
 	       pf_done done, void *ctx)
 {
+	if (!strcmp(txn->puts[0].key, CD_DAEMONS_KEY))
+		return;
 	claimed.assign(static_cast<const char *>(txn->puts[0].value),
 		       txn->puts[0].len);
 	commits.push_back({ done, ctx });
@@ -158,10 +160,15 @@
 	return 0;
 }
 
-void links_expect(struct links *, const char *)
+void links_expect(struct links *, const char *, const char *)
 {
 }
 
+struct buf links_daemons(const struct links *, uint64_t)
+{
+	return buf_str("d1");
+}
+
 } /* extern "C" */
 
 namespace
