Consider a lost daemon as removed after ten seconds

Cause: a daemon that is lost counts as missing, so that a holder without the store cannot go on, for a minute of confirmations by the store.

Ten seconds are longer than the cuts of single machines and restarts.

--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -28,7 +28,7 @@
 #define HOLDER_TIMEOUT_MS 800
 #define FOLLOWER_TIMEOUT_MS 2000
 /* A daemon lost longer ago than this is considered removed. */
-#define LOST_FOLLOWER_MS 60000
+#define LOST_FOLLOWER_MS 10000
 #define FOLLOWERS_MAX 512
 #define BACKLOG 256
 
