Log the lease of a minion that is silent, contacted or settled

No log told what deadline a minion had been sent and what its clock was, so that a lease which the holder counts short could not be told from an end that was lost on its way. The events of the minion have both now.

--- a/jaycelld/cell_ops.c
+++ b/jaycelld/cell_ops.c
@@ -137,21 +137,32 @@
 
 static void op_event(struct cell_owner *owner, const struct cell_event *e)
 {
+	const struct cell_lease_state *l = e->lease;
 	char input[32] = "";
+	char lease[160] = "";
 
 	(void)owner;
 	if (e->input)
 		snprintf(input, sizeof(input), " input=%llu",
 			 (unsigned long long)e->input);
+	if (l && l->clock_ms)
+		snprintf(lease, sizeof(lease),
+			 " clock_ms=%llu clock_age_ms=%llu estimate_ms=%llu "
+			 "deadline_ms=%llu deadline_age_ms=%llu",
+			 (unsigned long long)l->clock_ms,
+			 (unsigned long long)l->clock_age_ms,
+			 (unsigned long long)l->estimate_ms,
+			 (unsigned long long)l->deadline_ms,
+			 (unsigned long long)l->deadline_age_ms);
 	ev(e->what,
 	   "id=%s minion=%s run=%llu detail=\"%s\" age_ms=%llu "
-	   "value=%llu%s",
+	   "value=%llu%s%s",
 	   e->task  ? e->task
 	   : e->job ? e->job
 		    : "-",
 	   e->minion ? e->minion : "-", (unsigned long long)e->run,
 	   e->detail ? e->detail : "", (unsigned long long)e->age_ms,
-	   (unsigned long long)e->value, input);
+	   (unsigned long long)e->value, input, lease);
 }
 
 static void op_job_expired(struct cell_owner *owner, const char *job)
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -109,6 +109,15 @@
 };
 
 /* A state change, for the log. */
+/* What is known of the lease of a minion, in ms of the clock of the minion. */
+struct cell_lease_state {
+	uint64_t clock_ms;	  /* as last reported */
+	uint64_t clock_age_ms;	  /* since that report */
+	uint64_t estimate_ms;	  /* present clock, if it does not drift */
+	uint64_t deadline_ms;	  /* latest that was sent, 0: none */
+	uint64_t deadline_age_ms; /* since it was sent */
+};
+
 struct cell_event {
 	const char *what; /* event name, static */
 	const char *job;  /* NULL: none */
@@ -119,6 +128,7 @@
 	uint64_t age_ms;    /* of the job, run, step or request */
 	uint64_t input;	    /* measured value behind the decision, 0: none */
 	uint64_t value;
+	const struct cell_lease_state *lease; /* NULL: none */
 };
 
 struct cell_ops {
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -183,6 +183,8 @@
 	uint64_t anchor_ms;
 	/* Latest possible expiry of this and earlier terms, our clock. */
 	uint64_t lease_until_ms;
+	uint64_t deadline_ms; /* latest that was sent, clock of the minion */
+	uint64_t deadline_sent_ms;
 	uint64_t record_seq;	   /* its latest record, but SETTLED */
 	uint64_t last_end_handled; /* highest end number applied */
 	uint64_t last_end_durable; /* highest end number made durable */
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -197,6 +197,10 @@
 
 	if (until > m->lease_until_ms)
 		m->lease_until_ms = until;
+	if (deadline > m->deadline_ms) {
+		m->deadline_ms = deadline;
+		m->deadline_sent_ms = now_ms;
+	}
 	return deadline;
 }
 
@@ -295,10 +299,28 @@
 	return m->lease_until_ms > now_ms ? m->lease_until_ms - now_ms : 0;
 }
 
+/* Returns what is known of the lease of the minion, for the log. */
+static struct cell_lease_state lease_state(const struct cell_minion *m,
+					   uint64_t now_ms)
+{
+	if (!m->clock_known)
+		return (struct cell_lease_state){ 0 };
+	return (struct cell_lease_state){
+		.clock_ms = m->anchor_clock_ms,
+		.clock_age_ms = now_ms - m->anchor_ms,
+		.estimate_ms = minion_clock(m, now_ms),
+		.deadline_ms = m->deadline_ms,
+		.deadline_age_ms =
+			m->deadline_ms ? now_ms - m->deadline_sent_ms : 0,
+	};
+}
+
 /* Logs why a minion is settled, and what was known of it. */
 static void log_settled(struct cell *cell, const struct cell_minion *m,
 			const char *why, uint64_t now_ms)
 {
+	struct cell_lease_state lease = lease_state(m, now_ms);
+
 	cell_event(cell,
 		   &(struct cell_event){
 			   .what = "minion-settled",
@@ -307,7 +329,8 @@
 			   .age_ms = now_ms - (m->alive_ms ? m->alive_ms
 							   : cell->started_ms),
 			   .input = lease_left_ms(m, now_ms),
-			   .value = m->run_count });
+			   .value = m->run_count,
+			   .lease = &lease });
 }
 
 /*
@@ -340,6 +363,7 @@
 	m->contacted = false;
 	m->clock_known = false;
 	m->lease_until_ms = 0;
+	m->deadline_ms = 0;
 	/* Ends and acknowledgements of this incarnation are void. */
 	m->incarnation++;
 	m->last_end_handled = 0;
@@ -699,6 +723,8 @@
 				const struct cell_report *report,
 				uint64_t now_ms)
 {
+	struct cell_lease_state lease = lease_state(m, now_ms);
+
 	m->contacted = true;
 	cell_event(cell,
 		   &(struct cell_event){
@@ -707,7 +733,8 @@
 			   .detail = m->inherited ? "of an earlier term" : "",
 			   .age_ms = now_ms - cell->started_ms,
 			   .input = report->ended_count,
-			   .value = report->running_count });
+			   .value = report->running_count,
+			   .lease = &lease });
 	minion_enroll(cell, m, now_ms);
 	cell->dirty = true;
 }
@@ -778,6 +805,7 @@
 			 enum cell_result result, uint64_t now_ms)
 {
 	struct cell_minion *m = minion_get(cell, minion, id);
+	struct cell_lease_state lease;
 
 	if (!m)
 		return;
@@ -795,10 +823,12 @@
 		m->next_poll_ms = now_ms + POLL_RETRY_SLOW_MS;
 		return;
 	}
+	lease = lease_state(m, now_ms);
 	if (!m->failing)
 		cell_event(cell, &(struct cell_event){ .what = "minion-silent",
 						       .minion = m->info.id,
-						       .value = m->run_count });
+						       .value = m->run_count,
+						       .lease = &lease });
 	set_failing(m,
 		    result == CELL_NOT_SENT ||
 			    now_ms < m->poll_sent_ms + m->poll_wait_ms +
