Use late responses of minions, and let timeouts follow response times

Cause: a poll was cancelled 0.7 s after its wait and an order after 0.6 s, with its connection, whatever the way to the minions took. Where it took longer no response ever arrived. Minions that worked counted as silent, no poll renewed their leases, and ends that they had listed were lost on their way. When the lease ended by the count of the holder the tasks were started elsewhere, although the minions had ended and listed them.

Change: a poll whose response is overdue makes the minion silent and is repeated on a new connection, but stays open, and its response is used. The time after which a response is overdue is the mean response time of the zone and four mean deviations, at least as before and at most 3 s. A minion that responds again is polled at once, as its lease was not renewed meanwhile.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -921,7 +921,7 @@
 		e->result = CELL_NO_ANSWER;
 	if (e->result != CELL_OK) {
 		cell_on_poll_failed(s->cell, (uint32_t)e->seq, m->id, e->result,
-				    s->now);
+				    e->sent_ms, s->now);
 		return;
 	}
 	running = xcalloc(m->run_count + 1, sizeof(*running));
--- a/jaycelld/cell_ops.c
+++ b/jaycelld/cell_ops.c
@@ -7,11 +7,6 @@
 #include "holder_int.h"
 #include "platform/minion.h"
 
-/* A start command without a response in this time is followed by a stop. */
-#define COMMAND_TIMEOUT_MS 600
-/* Response timeout of a poll, beyond its long-poll time. */
-#define POLL_TIMEOUT_MS 700
-
 static struct holder *to_holder(struct cell_owner *owner)
 {
 	return (struct holder *)owner;
@@ -36,7 +31,7 @@
 
 	h->calls_in_flight++;
 	ctr_add(h->starts, 1);
-	pf_start(h->d->httpc, start, h->token, COMMAND_TIMEOUT_MS, on_start, h);
+	pf_start(h->d->httpc, start, h->token, on_start, h);
 }
 
 static void on_stop(void *ctx, uint32_t minion, const char *task, uint64_t run,
@@ -55,7 +50,7 @@
 	h->calls_in_flight++;
 	ev("run-stop", "task=%s run=%llu minion=%s", stop->task,
 	   (unsigned long long)stop->run, stop->minion_id);
-	pf_stop(h->d->httpc, stop, h->token, COMMAND_TIMEOUT_MS, on_stop, h);
+	pf_stop(h->d->httpc, stop, h->token, on_stop, h);
 }
 
 static void on_paced(void *ctx, uint32_t minion, const char *task, uint64_t run,
@@ -72,7 +67,7 @@
 	struct holder *h = to_holder(owner);
 
 	h->calls_in_flight++;
-	pf_pace(h->d->httpc, pace, h->token, COMMAND_TIMEOUT_MS, on_paced, h);
+	pf_pace(h->d->httpc, pace, h->token, on_paced, h);
 }
 
 static void on_poll(void *ctx, uint32_t minion, const char *id,
@@ -87,7 +82,7 @@
 	if (report)
 		cell_on_report(h->cell, minion, id, report, sent_ms, now);
 	else
-		cell_on_poll_failed(h->cell, minion, id, result, now);
+		cell_on_poll_failed(h->cell, minion, id, result, sent_ms, now);
 }
 
 static void op_poll(struct cell_owner *owner, uint32_t minion)
@@ -98,8 +93,7 @@
 	if (!cell_poll_request(h->cell, minion, &poll, loop_now_ms()))
 		return;
 	h->calls_in_flight++;
-	pf_poll(h->d->httpc, minion, &poll, h->token, POLL_TIMEOUT_MS, on_poll,
-		h);
+	pf_poll(h->d->httpc, minion, &poll, h->token, on_poll, h);
 }
 
 /* Handles the response to an advice request of this daemon. */
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -58,6 +58,7 @@
 	free(cell->ready);
 	free(cell->pending);
 	free(cell->contained);
+	free(cell->zones);
 	free(cell);
 }
 
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -50,6 +50,7 @@
 	const char *ticket;	/* NULL: none */
 	const char *checkpoint; /* NULL: none */
 	uint64_t deadline_ms;	/* lease expiry, clock of the minion */
+	uint32_t timeout_ms;	/* of the response */
 };
 
 struct cell_stop {
@@ -58,6 +59,7 @@
 	const char *minion_id;
 	char task[CELL_TASK_MAX];
 	uint64_t run;
+	uint32_t timeout_ms; /* of the response */
 };
 
 /* Throttles a run. */
@@ -67,7 +69,8 @@
 	const char *minion_id;
 	char task[CELL_TASK_MAX];
 	uint64_t run;
-	uint32_t percent; /* of full speed, 0 to 100 */
+	uint32_t percent;    /* of full speed, 0 to 100 */
+	uint32_t timeout_ms; /* of the response */
 };
 
 /* Advice request: which of the minions may run a step? */
@@ -223,6 +226,9 @@
 	uint64_t observed;    /* ends up to this number are acknowledged */
 	uint64_t deadline_ms; /* 0: the lease is not renewed */
 	uint32_t wait_ms;     /* long poll: max. wait for an end */
+	uint64_t sent_ms;     /* returned with the response */
+	uint32_t timeout_ms;  /* of the response, with wait_ms */
+	bool fresh;	      /* on a new connection: others may be dead */
 };
 
 enum cell_result {
@@ -299,7 +305,8 @@
 		    const struct cell_report *report, uint64_t sent_ms,
 		    uint64_t now_ms);
 void cell_on_poll_failed(struct cell *cell, uint32_t minion, const char *id,
-			 enum cell_result result, uint64_t now_ms);
+			 enum cell_result result, uint64_t sent_ms,
+			 uint64_t now_ms);
 void cell_on_start(struct cell *cell, uint32_t minion, const char *task,
 		   uint64_t run, enum cell_result result, uint64_t now_ms);
 void cell_on_stop(struct cell *cell, uint32_t minion, const char *task,
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -126,10 +126,11 @@
 	uint64_t run;
 	struct cell_res held;
 	uint64_t sent_ms;
-	uint64_t acked_ms; /* start acknowledged, 0: not yet */
-	bool job_unknown;  /* the holder does not know the job */
-	bool late;	   /* of a contained queue, past its deadline */
-	bool isolated;	   /* of a suspect, started in isolation */
+	uint32_t timeout_ms; /* of the response to its start */
+	uint64_t acked_ms;   /* start acknowledged, 0: not yet */
+	bool job_unknown;    /* the holder does not know the job */
+	bool late;	     /* of a contained queue, past its deadline */
+	bool isolated;	     /* of a suspect, started in isolation */
 	bool stopping;
 	bool stop_in_flight;
 	uint64_t next_stop_ms;	/* next attempt */
@@ -143,6 +144,17 @@
 	uint64_t pace_sent_ms;
 };
 
+/* Polls of one minion that may be open at the same time. */
+#define CELL_POLLS_MAX 6
+
+/* A poll that was sent. */
+struct cell_open_poll {
+	uint64_t sent_ms;
+	uint32_t wait_ms; /* as in cell_poll */
+	bool open;	  /* neither answered nor failed */
+	bool overdue;	  /* its response is late */
+};
+
 struct cell_minion {
 	struct cell_minion_info info;
 	uint32_t handle;
@@ -162,8 +174,6 @@
 	bool disconnected;
 	bool blamed;	   /* its runs, for the current failure */
 	uint64_t alive_ms; /* latest response */
-	uint64_t poll_sent_ms;
-	uint32_t poll_wait_ms;
 	/* No other start until then; the suspect that it is isolated for. */
 	uint64_t isolated_until_ms;
 	char isolated_task[CELL_TASK_MAX];
@@ -172,8 +182,9 @@
 	char contained_queue[CELL_NAME_MAX]; /* empty: none */
 	char down_queue[CELL_NAME_MAX];	     /* empty: none */
 	uint32_t foreign_cpu; /* of runs of other queues than that */
-	uint32_t polls_in_flight;
-	bool poll_now;		 /* at once, even if a long poll is in flight */
+	struct cell_open_poll polls[CELL_POLLS_MAX];
+	uint32_t latest_poll;	 /* index in polls */
+	bool poll_now;		 /* at once, even if a long poll is open */
 	uint64_t unknown_job_ms; /* first end of an unknown job, 0: none */
 	uint64_t next_poll_ms;
 	uint64_t born_unix_ms;
@@ -282,6 +293,13 @@
 	double accepted;
 };
 
+/* Response times of the minions of an availability zone, in ms. */
+struct cell_zone {
+	char name[CELL_NAME_MAX];
+	double response_ms;  /* mean */
+	double deviation_ms; /* mean deviation from that */
+};
+
 struct cell {
 	struct cell_owner *owner;
 	struct cell_settings settings;
@@ -304,6 +322,9 @@
 	struct cell_minion **minions;
 	struct cell_minion *minion_index; /* by id */
 	uint32_t minion_count;
+	struct cell_zone *zones;
+	uint32_t zone_count;
+	uint32_t zone_capacity;
 	uint64_t minions_tick_ms; /* latest tick of the minions */
 	bool minions_due;	  /* the next tick must not wait */
 	uint32_t unsettled;
@@ -396,7 +417,22 @@
 void cell_ack_ends(struct cell *cell, struct cell_minion *minion,
 		   uint64_t number);
 
+/* poll.c */
+void cell_response_time_add(struct cell *cell, const struct cell_minion *m,
+			    uint64_t took_ms);
+void cell_response_missed(struct cell *cell, const struct cell_minion *m,
+			  uint64_t timeout_ms);
+uint32_t cell_order_timeout_ms(struct cell *cell, const struct cell_minion *m);
+bool cell_poll_is_open(const struct cell_minion *m);
+void cell_poll_if_due(struct cell *cell, struct cell_minion *m,
+		      uint64_t now_ms);
+bool cell_poll_overdue(struct cell *cell, struct cell_minion *m,
+		       uint64_t now_ms);
+struct cell_open_poll cell_poll_close(struct cell_minion *m, uint64_t sent_ms);
+
 /* minion.c */
+struct cell_minion *cell_minion_get(const struct cell *cell, uint32_t handle,
+				    const char *id);
 struct cell_run *cell_run_find(struct cell_minion *m, const char *task,
 			       uint64_t run);
 struct cell_run *cell_run_add(struct cell_minion *m, const char *task,
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -38,8 +38,9 @@
 /* How long a suspected minion gets no work, in ms. */
 #define SUSPECT_PERIOD_MS 4000
 
-static struct cell_minion *minion_get(const struct cell *cell, uint32_t handle,
-				      const char *id)
+/* Returns the minion of that handle, and of that @id if it is not NULL. */
+struct cell_minion *cell_minion_get(const struct cell *cell, uint32_t handle,
+				    const char *id)
 {
 	struct cell_minion *m;
 
@@ -159,7 +160,9 @@
 	struct cell_stop stop = { .minion = m->handle,
 				  .addr = m->info.addr,
 				  .minion_id = m->info.id,
-				  .run = run->run };
+				  .run = run->run,
+				  .timeout_ms =
+					  cell_order_timeout_ms(cell, m) };
 
 	run->stopping = true;
 	if (run->stop_in_flight || run->stop_acked_ms ||
@@ -204,35 +207,6 @@
 	return deadline;
 }
 
-/*
- * Fills in the next poll request for a minion, and renews its lease if the term
- * is valid, counted from the tick that found it valid: the process may have
- * been paused since. Returns false if there is no such minion.
- */
-bool cell_poll_request(struct cell *cell, uint32_t minion,
-		       struct cell_poll *out, uint64_t now_ms)
-{
-	struct cell_minion *m = minion_get(cell, minion, NULL);
-
-	if (!m)
-		return false;
-	*out = (struct cell_poll){ .addr = m->info.addr, .id = m->info.id };
-	if (!m->contacted || m->failing) {
-		m->poll_now = false;
-		return true;
-	}
-	out->observed = m->last_end_durable;
-	if (m->last_end_durable == m->last_end_handled && !m->poll_now)
-		out->wait_ms = cell_minion_poll_wait_ms(cell, m);
-	m->poll_now = false;
-	m->poll_sent_ms = now_ms;
-	m->poll_wait_ms = out->wait_ms;
-	if (cell->valid && m->clock_known)
-		out->deadline_ms =
-			cell_minion_renew_lease(cell, m, cell->tick_ms);
-	return true;
-}
-
 /* Enrolls a minion that responds, unless it drains and gets no work. */
 static void minion_enroll(struct cell *cell, struct cell_minion *m,
 			  uint64_t now_ms)
@@ -293,6 +267,16 @@
 	}
 }
 
+/* Logs that a minion responds again. */
+static void log_back(struct cell *cell, const struct cell_minion *m,
+		     uint64_t now_ms)
+{
+	cell_event(cell, &(struct cell_event){ .what = "minion-back",
+					       .minion = m->info.id,
+					       .age_ms = now_ms - m->failing_ms,
+					       .value = m->run_count });
+}
+
 /* Returns the ms until all leases of this and earlier terms have ended. */
 static uint64_t lease_left_ms(const struct cell_minion *m, uint64_t now_ms)
 {
@@ -754,13 +738,17 @@
 		    const struct cell_report *report, uint64_t sent_ms,
 		    uint64_t now_ms)
 {
-	struct cell_minion *m = minion_get(cell, minion, id);
+	struct cell_minion *m = cell_minion_get(cell, minion, id);
+	struct cell_open_poll poll;
 	bool another_life;
 	bool complete;
 
 	if (!m)
 		return;
-	m->polls_in_flight -= m->polls_in_flight > 0;
+	poll = cell_poll_close(m, sent_ms);
+	if (poll.sent_ms && now_ms >= sent_ms + poll.wait_ms)
+		cell_response_time_add(cell, m,
+				       now_ms - sent_ms - poll.wait_ms);
 	another_life = m->born_unix_ms && report->born_unix_ms &&
 		       m->born_unix_ms != report->born_unix_ms;
 	/* A response may be overtaken by that of a later life. */
@@ -773,8 +761,11 @@
 		cell_minion_blame(cell, m, now_ms);
 		minion_settle(cell, m, "another life", now_ms);
 	} else if (m->failing) {
+		log_back(cell, m, now_ms);
 		cell_minion_clear_runs(cell, m, now_ms);
 		m->failing_ms = 0;
+		/* Its lease was not renewed meanwhile. */
+		m->poll_now = true;
 	}
 	if (report->born_unix_ms)
 		m->born_unix_ms = report->born_unix_ms;
@@ -800,21 +791,40 @@
 		m->next_poll_ms += UNRECORDED_POLL_MS;
 }
 
+/* Handles that a poll has no response yet, or never will. */
+static void poll_missed(struct cell *cell, struct cell_minion *m,
+			bool disconnected, uint64_t now_ms)
+{
+	struct cell_lease_state lease = lease_state(m, now_ms);
+
+	m->next_poll_ms = now_ms;
+	if (m->failing || !m->contacted)
+		m->next_poll_ms +=
+			m->listed ? POLL_RETRY_MS : POLL_RETRY_SLOW_MS;
+	if (!m->failing)
+		cell_event(cell, &(struct cell_event){ .what = "minion-silent",
+						       .minion = m->info.id,
+						       .value = m->run_count,
+						       .lease = &lease });
+	set_failing(m, disconnected, now_ms);
+}
+
 /* Handles a poll without a response, or with one of another incarnation. */
 void cell_on_poll_failed(struct cell *cell, uint32_t minion, const char *id,
-			 enum cell_result result, uint64_t now_ms)
+			 enum cell_result result, uint64_t sent_ms,
+			 uint64_t now_ms)
 {
-	struct cell_minion *m = minion_get(cell, minion, id);
-	struct cell_lease_state lease;
+	struct cell_minion *m = cell_minion_get(cell, minion, id);
+	struct cell_open_poll poll;
 
 	if (!m)
 		return;
-	m->polls_in_flight -= m->polls_in_flight > 0;
-	m->next_poll_ms = now_ms;
+	poll = cell_poll_close(m, sent_ms);
 	cell->minions_due = true;
-	if (m->failing || !m->contacted)
-		m->next_poll_ms +=
-			m->listed ? POLL_RETRY_MS : POLL_RETRY_SLOW_MS;
+	/* It has responded since, or the lack of a response is known. */
+	if (sent_ms < m->report_sent_ms ||
+	    (poll.overdue && result != CELL_OTHER_INCARNATION))
+		return;
 	if (result == CELL_OTHER_INCARNATION) {
 		set_failing(m, false, now_ms);
 		cell_minion_blame(cell, m, now_ms);
@@ -823,17 +833,12 @@
 		m->next_poll_ms = now_ms + POLL_RETRY_SLOW_MS;
 		return;
 	}
-	lease = lease_state(m, now_ms);
-	if (!m->failing)
-		cell_event(cell, &(struct cell_event){ .what = "minion-silent",
-						       .minion = m->info.id,
-						       .value = m->run_count,
-						       .lease = &lease });
-	set_failing(m,
-		    result == CELL_NOT_SENT ||
-			    now_ms < m->poll_sent_ms + m->poll_wait_ms +
-					     POLL_TIMEOUT_MIN_MS,
-		    now_ms);
+	poll_missed(
+		cell, m,
+		result == CELL_NOT_SENT ||
+			(poll.sent_ms && now_ms < poll.sent_ms + poll.wait_ms +
+							  POLL_TIMEOUT_MIN_MS),
+		now_ms);
 }
 
 static void handle_start_rejected(struct cell *cell, struct cell_minion *m,
@@ -857,16 +862,30 @@
 		cell_gang_abort(cell, step, copy.run, now_ms);
 }
 
+/* Counts the response time of a start; a refused connection has none. */
+static void note_start_response(struct cell *cell, const struct cell_minion *m,
+				const struct cell_run *run,
+				enum cell_result result, uint64_t now_ms)
+{
+	uint64_t took_ms = now_ms - run->sent_ms;
+
+	if (result != CELL_NO_ANSWER && result != CELL_NOT_SENT)
+		cell_response_time_add(cell, m, took_ms);
+	else if (took_ms >= run->timeout_ms)
+		cell_response_missed(cell, m, took_ms);
+}
+
 /* Handles the response to a start. */
 void cell_on_start(struct cell *cell, uint32_t minion, const char *task,
 		   uint64_t run, enum cell_result result, uint64_t now_ms)
 {
-	struct cell_minion *m = minion_get(cell, minion, NULL);
+	struct cell_minion *m = cell_minion_get(cell, minion, NULL);
 	struct cell_run *r = m ? cell_run_find(m, task, run) : NULL;
 	struct cell_step *step;
 
 	if (!r)
 		return;
+	note_start_response(cell, m, r, result, now_ms);
 	if (result == CELL_OK) {
 		m->alive_ms = now_ms;
 		if (!r->acked_ms)
@@ -900,7 +919,7 @@
 void cell_on_stop(struct cell *cell, uint32_t minion, const char *task,
 		  uint64_t run, enum cell_result result, uint64_t now_ms)
 {
-	struct cell_minion *m = minion_get(cell, minion, NULL);
+	struct cell_minion *m = cell_minion_get(cell, minion, NULL);
 	struct cell_run *r = m ? cell_run_find(m, task, run) : NULL;
 
 	(void)cell;
@@ -964,6 +983,8 @@
 {
 	bool leased = now_ms < m->lease_until_ms;
 
+	if (cell_poll_overdue(cell, m, now_ms))
+		poll_missed(cell, m, false, now_ms);
 	if (m->failing && m->enrolled && !leased && !m->inherited) {
 		/* A process that is cut off is not disconnected: it may run. */
 		if (m->disconnected)
@@ -985,7 +1006,7 @@
 	    now_ms > m->unlisted_ms + UNLISTED_TIMEOUT_MS) {
 		if (m->enrolled)
 			minion_settle(cell, m, "left", now_ms);
-		if (!m->polls_in_flight) {
+		if (!cell_poll_is_open(m)) {
 			minion_free(cell, m);
 			return;
 		}
@@ -994,10 +1015,7 @@
 	if (m->drain_ms && cell->valid)
 		cell_minion_evacuate(cell, m, now_ms);
 	retry_stops(cell, m, now_ms);
-	if (m->poll_now || (!m->polls_in_flight && now_ms >= m->next_poll_ms)) {
-		m->polls_in_flight++;
-		cell->owner->ops->poll(cell->owner, m->handle);
-	}
+	cell_poll_if_due(cell, m, now_ms);
 }
 
 /* Runs the due polls, stop retries and lease expiries of all minions. */
--- a/lib/cell/pace.c
+++ b/lib/cell/pace.c
@@ -77,7 +77,9 @@
 				  .addr = m->info.addr,
 				  .minion_id = m->info.id,
 				  .run = run->run,
-				  .percent = run->pace };
+				  .percent = run->pace,
+				  .timeout_ms =
+					  cell_order_timeout_ms(cell, m) };
 
 	memcpy(pace.task, run->task, sizeof(pace.task));
 	run->pace_sent_ms = now_ms;
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -194,7 +194,9 @@
 				    .payload = job->spec.payload,
 				    .ticket =
 					    c->grant ? c->grant->ticket : NULL,
-				    .checkpoint = task->checkpoint };
+				    .checkpoint = task->checkpoint,
+				    .timeout_ms =
+					    cell_order_timeout_ms(cell, m) };
 
 	cell_step_name(step, index, start.task);
 	task->state = CELL_TASK_ACTIVE;
@@ -211,6 +213,7 @@
 	placed = cell_run_add(m, start.task, run, step->spec, &held, now_ms);
 	placed->late = cell->unix_ms > job->deadline_unix_ms &&
 		       cell_contain_active(cell, job->spec.queue);
+	placed->timeout_ms = start.timeout_ms;
 	placed->pace = CELL_PACE_FULL;
 	placed->pace_acked = true;
 	start.deadline_ms = cell_minion_renew_lease(cell, m, now_ms);
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -603,13 +603,13 @@
 	cell_replay_done(f.cell, f.now);
 	f.minions(1, 8000);
 	f.polls.clear();
-	cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now);
+	cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now, f.now);
 	f.tick();
 	ASSERT_EQ(f.polls.size(), 1U);
 	cell_poll_request(f.cell, 0, &hold, f.now);
 	EXPECT_EQ(hold.wait_ms, 0U);
 	/* A second failure in a row must not cause a flood of polls. */
-	cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now);
+	cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now, f.now);
 	f.tick();
 	EXPECT_EQ(f.polls.size(), 1U);
 	f.tick(250);
@@ -1141,7 +1141,7 @@
 		      f.now);
 	for (int ms = 0; ms < 5000; ms += 250) {
 		cell_on_poll_failed(f.cell, minion, id.c_str(), CELL_NO_ANSWER,
-				    f.now);
+				    f.now, f.now);
 		f.tick(250);
 	}
 	EXPECT_EQ(f.starts.size(), 1U);
@@ -1154,7 +1154,7 @@
 	/* Renewed by no poll since, the lease ends 5.5 s after the start. */
 	for (int ms = 0; ms < 8000; ms += 250) {
 		cell_on_poll_failed(f.cell, minion, id.c_str(), CELL_NO_ANSWER,
-				    f.now);
+				    f.now, f.now);
 		f.tick(250);
 	}
 	EXPECT_EQ(f.starts.size(), 2U);
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -166,7 +166,7 @@
 	{
 		f.tick(age_ms);
 		cell_on_poll_failed(f.cell, o.minion, o.minion_id.c_str(),
-				    CELL_NOT_SENT, f.now);
+				    CELL_NOT_SENT, f.now, f.now);
 		if (age_ms)
 			f.tick(20);
 	}
@@ -183,14 +183,14 @@
 		cell_poll_request(cell, o.minion, &poll, now);
 		tick(poll.wait_ms + 700);
 		cell_on_poll_failed(cell, o.minion, o.minion_id.c_str(),
-				    CELL_NO_ANSWER, now);
+				    CELL_NO_ANSWER, now, now);
 	}
 
 	/* Another process answers at the address, and then is listed. */
 	static void replace(CellFixture &f, Order o)
 	{
 		cell_on_poll_failed(f.cell, o.minion, o.minion_id.c_str(),
-				    CELL_OTHER_INCARNATION, f.now);
+				    CELL_OTHER_INCARNATION, f.now, f.now);
 		f.report(o.minion, o.minion_id, {}, {});
 	}
 	void replace(const Order &o)
@@ -449,7 +449,7 @@
 		     ms += 250) {
 			cell_on_poll_failed(f.cell, o.minion,
 					    o.minion_id.c_str(), CELL_NO_ANSWER,
-					    f.now);
+					    f.now, f.now);
 			f.tick(250);
 			f.durable();
 		}
@@ -469,7 +469,7 @@
 	f.disconnect(f.starts[0], 10);
 	cell_on_poll_failed(f.cell, f.starts[0].minion,
 			    f.starts[0].minion_id.c_str(),
-			    CELL_OTHER_INCARNATION, f.now);
+			    CELL_OTHER_INCARNATION, f.now, f.now);
 	f.tick(500);
 	EXPECT_EQ(f.starts.size(), 1U);
 	f.durable();
@@ -635,7 +635,7 @@
 	for (int ms = 0; ms < 2500; ms += 250) {
 		cell_on_poll_failed(f.cell, f.starts[0].minion,
 				    f.starts[0].minion_id.c_str(),
-				    CELL_NO_ANSWER, f.now);
+				    CELL_NO_ANSWER, f.now, f.now);
 		f.tick(250);
 	}
 	EXPECT_EQ(f.records.size(), 1U);
--- a/tests/report_test.cc
+++ b/tests/report_test.cc
@@ -181,7 +181,8 @@
 	f.durable();
 	for (int ms = 0; ms < 9000; ms += 300) {
 		f.tick(300);
-		cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now);
+		cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now,
+				    f.now);
 		f.report(1, "m1", {}, {});
 	}
 	ASSERT_EQ(f.starts.size(), 1U);
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -55,7 +55,7 @@
 	cell_set_minions(f.cell, infos, 2, f.now);
 	f.report(f.minion, f.id, { { "j.0.0.0", f.starts[0].run, "" } }, {});
 	cell_on_poll_failed(f.cell, f.minion, f.id.c_str(),
-			    CELL_OTHER_INCARNATION, f.now);
+			    CELL_OTHER_INCARNATION, f.now, f.now);
 	f.durable();
 	f.tick(100);
 	f.durable();
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -28,7 +28,7 @@
 	{
 		for (uint64_t end = now + ms; now < end;) {
 			cell_on_poll_failed(cell, minion, id, CELL_NO_ANSWER,
-					    now);
+					    now, now);
 			durable();
 			tick(100);
 		}
@@ -226,7 +226,7 @@
 		      CELL_OK, f.now);
 	cell_on_poll_failed(f.cell, f.starts[0].minion,
 			    f.starts[0].minion_id.c_str(), CELL_NO_ANSWER,
-			    f.now);
+			    f.now, f.now);
 	confirmed = f.now + 5000;
 	cell_set_term_valid(f.cell, true, confirmed);
 	for (int i = 0; i < 70; i++) {
