--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -3,6 +3,7 @@
 #define JAYSPOKE_CELL_INT_H
 
 #include "cell/cell.h"
+#include "rtt.h"
 
 #include <uthash.h>
 
@@ -293,11 +294,9 @@
 	double accepted;
 };
 
-/* Response times of the minions of an availability zone, in ms. */
 struct cell_zone {
 	char name[CELL_NAME_MAX];
-	double response_ms;  /* mean */
-	double deviation_ms; /* mean deviation from that */
+	struct rtt rtt; /* of the minions of the availability zone */
 };
 
 struct cell {
--- a/lib/cell/poll.c
+++ b/lib/cell/poll.c
@@ -21,12 +21,6 @@
 #define POLL_TIMEOUT_MS 5000
 /* As above, of a minion that has not responded to an earlier poll, in ms. */
 #define POLL_RETRY_TIMEOUT_MS 3000
-/* Weight of one response in the means, and of deviations in the timeout. */
-#define RESPONSE_WEIGHT (1.0 / 32)
-#define DEVIATION_FACTOR 4
-/* An order without a response counts as one that took its timeout times this.
- */
-#define BACKOFF_FACTOR 2
 
 /* Returns the entry of an availability zone, which is added if necessary. */
 static struct cell_zone *zone_get(struct cell *cell, const char *name)
@@ -52,13 +46,7 @@
 void cell_response_time_add(struct cell *cell, const struct cell_minion *m,
 			    uint64_t took_ms)
 {
-	struct cell_zone *zone = zone_get(cell, m->info.az);
-	double diff = (double)took_ms - zone->response_ms;
-
-	zone->response_ms += diff * RESPONSE_WEIGHT;
-	if (diff < 0)
-		diff = -diff;
-	zone->deviation_ms += (diff - zone->deviation_ms) * RESPONSE_WEIGHT;
+	rtt_add(&zone_get(cell, m->info.az)->rtt, took_ms);
 }
 
 /* Handles that an order to a minion was not answered in @timeout_ms. */
@@ -66,19 +54,15 @@
 			  uint64_t timeout_ms)
 {
 	if (!m->failing)
-		cell_response_time_add(cell, m, timeout_ms * BACKOFF_FACTOR);
+		rtt_add_missed(&zone_get(cell, m->info.az)->rtt, timeout_ms);
 }
 
 static uint32_t response_timeout_ms(struct cell *cell,
 				    const struct cell_minion *m,
 				    uint32_t least_ms)
 {
-	const struct cell_zone *zone = zone_get(cell, m->info.az);
-	double ms = zone->response_ms + DEVIATION_FACTOR * zone->deviation_ms;
-
-	if (ms > TIMEOUT_MAX_MS)
-		return TIMEOUT_MAX_MS;
-	return ms > least_ms ? (uint32_t)ms : least_ms;
+	return rtt_timeout_ms(&zone_get(cell, m->info.az)->rtt, least_ms,
+			      TIMEOUT_MAX_MS);
 }
 
 /* Returns how long the response to an order is waited for, in ms. */
