--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -309,6 +309,10 @@
 	ctr_set(ctr_gauge("jaycelld_failing_minions",
 			  "Minions that are listed and do not respond."),
 		stats.failing);
+	ctr_set(ctr_gauge("jaycelld_order_timeout_ms",
+			  "Longest time that the response of a minion may "
+			  "take, of all availability zones."),
+		stats.order_timeout_ms);
 	ctr_set(ctr_gauge("jaycelld_minions_lost",
 			  "Minions that this term lost with runs on them."),
 		stats.minions_lost);
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -150,6 +150,7 @@
 	stats->live_jobs = cell->live_jobs;
 	stats->ready_steps = cell->ready_count;
 	stats->unsettled = cell->unsettled;
+	stats->order_timeout_ms = cell_longest_order_timeout_ms(cell);
 	stats->minions = 0;
 	stats->failing = 0;
 	stats->running = 0;
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -266,6 +266,8 @@
 	uint64_t tasks_given_up;
 	uint64_t duplicate_runs; /* found beside another run of their task */
 	uint32_t failing;	 /* listed minions that do not respond */
+	/* Longest time, of all zones, that a response to an order may take. */
+	uint32_t order_timeout_ms;
 	uint64_t used_cpu_milli;
 	uint64_t total_cpu_milli;
 };
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -422,6 +422,7 @@
 void cell_response_missed(struct cell *cell, const struct cell_minion *m,
 			  uint64_t timeout_ms);
 uint32_t cell_order_timeout_ms(struct cell *cell, const struct cell_minion *m);
+uint32_t cell_longest_order_timeout_ms(const struct cell *cell);
 bool cell_poll_is_open(const struct cell_minion *m);
 void cell_poll_if_due(struct cell *cell, struct cell_minion *m,
 		      uint64_t now_ms);
--- a/lib/cell/poll.c
+++ b/lib/cell/poll.c
@@ -71,6 +71,21 @@
 	return response_timeout_ms(cell, m, ORDER_TIMEOUT_MS);
 }
 
+/* As cell_order_timeout_ms(), of the slowest availability zone. */
+uint32_t cell_longest_order_timeout_ms(const struct cell *cell)
+{
+	uint32_t longest = ORDER_TIMEOUT_MS;
+
+	for (uint32_t i = 0; i < cell->zone_count; i++) {
+		uint32_t ms = rtt_timeout_ms(&cell->zones[i].rtt,
+					     ORDER_TIMEOUT_MS, TIMEOUT_MAX_MS);
+
+		if (ms > longest)
+			longest = ms;
+	}
+	return longest;
+}
+
 static struct cell_open_poll *free_slot(struct cell_minion *m)
 {
 	for (uint32_t i = 0; i < CELL_POLLS_MAX; i++) {
