Give each part of a response of the store a timeout of its own

Callers in the farther region saw their jobs refused or no answer, and tasks ran twice, for ten seconds after a configuration had grown to thousands of routes.

Cause: a read or watch of the configuration, 620 KB, was cancelled when the whole response took longer than its timeout, also while it arrived, and sent again. 147 daemons did so; the repeats filled the link between the regions, which made the reads, and all other calls on the link, later still.

--- a/common/httpc.c
+++ b/common/httpc.c
@@ -55,6 +55,7 @@
 	uint32_t slot;
 	uint32_t generation;
 	size_t max_response_bytes;
+	uint32_t part_timeout_ms; /* as in httpc_request */
 	bool sent;
 	bool used;
 };
@@ -242,6 +243,16 @@
 	buf_free(&response.body);
 }
 
+/*
+ * A response that has begun may take long for its size or over a full link:
+ * asked for again it would fill the link once more.
+ */
+static void extend_timeout(struct exchange *x)
+{
+	if (loop_now_ms() + x->part_timeout_ms > x->timer.at_ms)
+		timer_start(x->client->loop, &x->timer, x->part_timeout_ms);
+}
+
 static int on_body(h2o_http1client_t *h2o, const char *errstr)
 {
 	struct exchange *x = h2o->data;
@@ -260,6 +271,7 @@
 		buf_append(&x->response.body, input->bytes, input->size);
 		x->client->bytes += input->size;
 		h2o_buffer_consume(&h2o->sock->input, input->size);
+		extend_timeout(x);
 	}
 	if (eos)
 		exchange_finish(x, HTTPC_COMPLETE, NULL);
@@ -292,6 +304,7 @@
 		return NULL;
 	}
 	x->response.status = status;
+	extend_timeout(x);
 	for (size_t i = 0; i < num_headers; i++) {
 		char index[24];
 		const h2o_iovec_t *name = headers[i].name;
@@ -395,6 +408,7 @@
 	x->done = request->done;
 	x->ctx = request->ctx;
 	x->ref = request->ref;
+	x->part_timeout_ms = request->part_timeout_ms;
 	x->max_response_bytes = request->max_response_bytes
 					? request->max_response_bytes
 					: HTTPC_MAX_RESPONSE_BYTES;
--- a/common/httpc.h
+++ b/common/httpc.h
@@ -43,6 +43,11 @@
 	const void *body;
 	size_t body_len;
 	uint32_t timeout_ms;	   /* for the whole exchange */
+	/*
+	 * Each part of a response that has begun may take this long, also
+	 * beyond timeout_ms.
+	 */
+	uint32_t part_timeout_ms;
 	size_t max_response_bytes; /* body bytes, 0: the default of 4 MB */
 	bool fresh;		   /* use a new connection, and close it */
 	httpc_done done;
