fakeplatform: minions with late links, and ends that count since they were listed

The double had no fault by which a response arrives late, only lost ones, and counted an end from the poll that acknowledges it.

The fault "late_links" holds each request to the given minions, and each response of theirs, for "delay_ms". A request is carried out even if its caller has closed the connection meanwhile. after_listed counts the starts of a task after such an end; it means something only where no other disruption is near, so only a test that asks for it reads it. 11-fake-minions checks both.

--- a/fakes/platform_minion.c
+++ b/fakes/platform_minion.c
@@ -35,6 +35,8 @@
 #define DEFAULT_RUN_MS 200
 #define TICK_MS 20
 #define INELIGIBLE_EVERY 3 /* the advice rejects every third minion */
+/* A listed end counts as taken note of after this time, in ms. */
+#define LISTED_NOTE_MS 100
 /* Time from the start of a drain until the minion leaves. */
 #define DRAIN_MS 3000
 #define VIOLATIONS_MAX 50 /* stored for platform_minions_observe() */
@@ -58,7 +60,9 @@
 	uint64_t run;
 	uint64_t order; /* see struct start */
 	const char *outcome;
-	bool discarded; /* the lease lapsed before it was observed */
+	bool discarded;	    /* the lease lapsed before it was observed */
+	uint64_t listed_ms; /* first response that lists it, 0: none */
+	bool noted;	    /* as it was listed, see LISTED_NOTE_MS */
 };
 
 /* The highest run of a task that a minion has stopped or ended. */
@@ -79,6 +83,7 @@
 	uint64_t fail_until; /* all runs started before then fail */
 	uint64_t hang_until; /* no run completes before then */
 	uint64_t cut_until;  /* its heartbeats do not reach the store */
+	uint64_t late_until; /* its requests and responses are late */
 	uint64_t next_heartbeat_ms;
 	uint64_t entry_until; /* when the entry lapses, 0: there is none */
 	uint64_t sequence;
@@ -104,13 +109,15 @@
 	char minion[32];
 	uint64_t attempts; /* failures allowed, 0: any number */
 	bool after_done;   /* as noted */
+	bool after_listed;
 	bool over_budget;
 };
 
-/* An observed end that counts as completion or failure. */
+/* An end that counts as completion or failure. */
 struct observation {
 	uint64_t order;
 	bool done;
+	bool listed; /* not observed, but listed for LISTED_NOTE_MS */
 };
 
 /* Totals of a task over all minions. */
@@ -138,6 +145,32 @@
 	struct timer timer;
 };
 
+/* A request to a minion. */
+struct order {
+	char path[16];
+	char expected[32]; /* life of the minion, empty: any */
+	json_t *body;
+	uint64_t call; /* for answers */
+	uint64_t connection;
+};
+
+/* A request that is on its way to a minion with late links. */
+struct late_request {
+	struct platform_minions *p;
+	uint32_t minion;
+	struct order order;
+	struct timer timer;
+};
+
+/* A response that is on its way from a minion with late links. */
+struct late_answer {
+	struct platform_minions *p;
+	uint64_t call;
+	int status;
+	json_t *body;
+	struct timer timer;
+};
+
 struct platform_minions {
 	struct loop *loop;
 	struct platform_kv *kv;
@@ -151,8 +184,11 @@
 	uint64_t order; /* of the latest start or end */
 	uint32_t late_orders;
 	uint32_t late_ms;
+	uint32_t link_delay_ms; /* of late links, each way */
+	uint32_t late_answers;
 	uint64_t twice;
 	uint64_t after_done;
+	uint64_t after_listed;
 	uint64_t over_capacity;
 	uint64_t over_budget;
 	uint64_t too_early;
@@ -249,14 +285,16 @@
 		struct start *start = &tally->history[i];
 		uint64_t failed = 0;
 		bool done = false;
+		bool listed = false;
 
 		for (uint32_t k = 0; k < tally->observation_count; k++) {
 			const struct observation *o = &tally->observations[k];
 
 			if (o->order > start->order)
 				continue;
-			done = done || o->done;
-			failed += !o->done;
+			listed = listed || (o->done && o->listed);
+			done = done || (o->done && !o->listed);
+			failed += !o->done && !o->listed;
 		}
 		if (done && !start->after_done) {
 			start->after_done = true;
@@ -264,6 +302,12 @@
 				       start->minion, tally->task, start->run,
 				       "");
 		}
+		if (listed && !start->after_listed) {
+			start->after_listed = true;
+			note_violation(p, &p->after_listed, "after-listed",
+				       start->minion, tally->task, start->run,
+				       "");
+		}
 		if (start->attempts && failed >= start->attempts &&
 		    !start->over_budget) {
 			start->over_budget = true;
@@ -274,8 +318,12 @@
 	}
 }
 
-/* Handles that a caller of the minion has taken note of an end. */
-static void observe_end(struct platform_minions *p, const struct end *end)
+/*
+ * Handles that a caller of the minion has taken note of an end, or counts as if
+ * it had since the end was @listed.
+ */
+static void observe_end(struct platform_minions *p, const struct end *end,
+			bool listed)
 {
 	struct tally *tally = tally_get(p, end->task);
 	bool done = !strcmp(end->outcome, "done");
@@ -285,11 +333,31 @@
 	tally->observations = xrealloc(tally->observations,
 				       (tally->observation_count + 1) *
 					       sizeof(*tally->observations));
-	tally->observations[tally->observation_count++] =
-		(struct observation){ .order = end->order, .done = done };
+	tally->observations[tally->observation_count++] = (struct observation){
+		.order = end->order, .done = done, .listed = listed
+	};
 	check_history(p, tally);
 }
 
+/*
+ * Handles the ends that were listed long enough ago, in a lease that had not
+ * lapsed by then: they count as taken note of, whoever read the response.
+ */
+static void note_listed_ends(struct platform_minions *p, struct minion *m,
+			     uint64_t now)
+{
+	for (uint32_t i = 0; i < m->end_count; i++) {
+		struct end *end = &m->ends[i];
+		uint64_t noted_ms = end->listed_ms + LISTED_NOTE_MS;
+
+		if (!end->listed_ms || end->noted || now < noted_ms ||
+		    noted_ms > m->lease_ms)
+			continue;
+		end->noted = true;
+		observe_end(p, end, true);
+	}
+}
+
 /*
  * Returns the clock of a minion, which is 0 when it boots. The clocks of every
  * second minion run 2% slow.
@@ -394,14 +462,53 @@
 			 "ended", ended);
 }
 
+static void on_late_answer(struct timer *timer)
+{
+	struct late_answer *late = timer->ctx;
+
+	fake_answer_json(late->p->fake, late->call, late->status, NULL,
+			 late->body);
+	free(late);
+}
+
+/* Sends a response, whose reference is taken; it is late if the links are. */
+static void answer(struct platform_minions *p, const struct minion *m,
+		   uint64_t call, int status, json_t *body)
+{
+	struct late_answer *late;
+
+	if (loop_now_ms() >= m->late_until) {
+		fake_answer_json(p->fake, call, status, NULL, body);
+		return;
+	}
+	p->late_answers++;
+	late = xcalloc(1, sizeof(*late));
+	*late = (struct late_answer){
+		.p = p, .call = call, .status = status, .body = body
+	};
+	late->timer = (struct timer){ .fn = on_late_answer, .ctx = late };
+	timer_start(p->loop, &late->timer, p->link_delay_ms);
+}
+
+static void answer_error(struct platform_minions *p, const struct minion *m,
+			 uint64_t call, int status, const char *text)
+{
+	answer(p, m, call, status, json_pack("{s:s}", "error", text));
+}
+
 static void answer_poll(struct platform_minions *p, struct minion *m)
 {
 	uint64_t call = m->poll_call;
+	uint64_t now = loop_now_ms();
 
 	if (!call)
 		return;
 	m->poll_call = 0;
-	fake_answer_json(p->fake, call, 200, NULL, report_json(m, p));
+	for (uint32_t i = 0; i < m->end_count && i < ENDS_LISTED_MAX; i++) {
+		if (!m->ends[i].listed_ms)
+			m->ends[i].listed_ms = now;
+	}
+	answer(p, m, call, 200, report_json(m, p));
 }
 
 static void end_run(struct platform_minions *p, struct minion *m, uint32_t at,
@@ -514,6 +621,7 @@
 
 	if (crash_by_run(p, m, now))
 		return;
+	note_listed_ends(p, m, now);
 	if (now > m->lease_ms)
 		discard_ends(m);
 	while (i < m->run_count) {
@@ -619,10 +727,10 @@
 		   uint64_t call, const char *reason)
 {
 	if (call)
-		fake_answer_json(p->fake, call, 409, NULL,
-				 json_pack("{s:I,s:s}", "clock_ms",
-					   (json_int_t)minion_clock(p, m),
-					   "reason", reason));
+		answer(p, m, call, 409,
+		       json_pack("{s:I,s:s}", "clock_ms",
+				 (json_int_t)minion_clock(p, m), "reason",
+				 reason));
 }
 
 static void accept_order(struct platform_minions *p, const struct minion *m,
@@ -631,9 +739,8 @@
 	if (!call)
 		return;
 	fake_may_lose_answer(p->fake, call);
-	fake_answer_json(
-		p->fake, call, 200, NULL,
-		json_pack("{s:I}", "clock_ms", (json_int_t)minion_clock(p, m)));
+	answer(p, m, call, 200,
+	       json_pack("{s:I}", "clock_ms", (json_int_t)minion_clock(p, m)));
 }
 
 static bool is_fenced(struct platform_minions *p, struct minion *m,
@@ -802,7 +909,7 @@
 
 	if (!task) {
 		if (call)
-			fake_answer_error(p->fake, call, 400, "no task");
+			answer_error(p, m, call, 400, "no task");
 	} else if (is_fenced(p, m, body)) {
 		reject(p, m, call, "fence");
 	} else if (run_index(m, task, get_u64(body, "run")) >= 0) {
@@ -892,7 +999,7 @@
 		if (m->ends[i].number > observed)
 			m->ends[kept++] = m->ends[i];
 		else
-			observe_end(p, &m->ends[i]);
+			observe_end(p, &m->ends[i], false);
 	}
 	m->end_count = kept;
 	answer_poll(p, m);
@@ -902,40 +1009,69 @@
 		answer_poll(p, m);
 }
 
-/* Handles a request to the minion at the request's port. */
-void platform_minions_handle(struct platform_minions *p,
-			     const struct fake_request *request)
+/* Carries a request out that has reached its minion. */
+static void handle_order(struct platform_minions *p, struct minion *m,
+			 const struct order *order)
 {
-	struct minion *m = &p->table[request->port - p->first_port];
-	json_t *body =
-		json_loadb(request->http.body, request->http.body_len, 0, NULL);
-	char expected[32];
-
 	tick_minions(p);
 	/* A crashed minion does not answer. */
 	if (m->down_until)
-		goto out;
+		return;
 	/* What a proxy held back for a former life is lost with it. */
-	if (request->connection <= m->boot_connection) {
-		fake_drop(p->fake, request->id);
-		goto out;
-	}
-	if (httpd_header(&request->http, "jayspoke-expect-instance", expected,
-			 sizeof(expected)) &&
-	    strcmp(expected, m->id) != 0)
-		fake_answer_error(p->fake, request->id, 421, "another life");
-	else if (!strcmp(request->http.path, "/run-start") && p->late_orders)
-		delay_order(p, m, body);
-	else if (!strcmp(request->http.path, "/run-start"))
-		handle_start(p, m, request->id, body, unix_ms());
-	else if (!strcmp(request->http.path, "/run-stop"))
-		handle_stop(p, m, request->id, body);
-	else if (!strcmp(request->http.path, "/hold"))
-		handle_poll(p, m, request->id, body);
+	if (order->connection <= m->boot_connection)
+		fake_drop(p->fake, order->call);
+	else if (order->expected[0] && strcmp(order->expected, m->id) != 0)
+		answer_error(p, m, order->call, 421, "another life");
+	else if (!strcmp(order->path, "/run-start") && p->late_orders)
+		delay_order(p, m, order->body);
+	else if (!strcmp(order->path, "/run-start"))
+		handle_start(p, m, order->call, order->body, unix_ms());
+	else if (!strcmp(order->path, "/run-stop"))
+		handle_stop(p, m, order->call, order->body);
+	else if (!strcmp(order->path, "/hold"))
+		handle_poll(p, m, order->call, order->body);
 	else
-		fake_answer_error(p->fake, request->id, 400, "unknown path");
-out:
-	json_decref(body);
+		answer_error(p, m, order->call, 400, "unknown path");
+}
+
+static void on_late_request(struct timer *timer)
+{
+	struct late_request *late = timer->ctx;
+
+	handle_order(late->p, &late->p->table[late->minion], &late->order);
+	json_decref(late->order.body);
+	free(late);
+}
+
+/*
+ * Handles a request to the minion at the request's port. On late links it is
+ * carried out later, even if its caller has gone by then.
+ */
+void platform_minions_handle(struct platform_minions *p,
+			     const struct fake_request *request)
+{
+	uint32_t at = request->port - p->first_port;
+	struct order order = {
+		.body = json_loadb(request->http.body, request->http.body_len,
+				   0, NULL),
+		.call = request->id,
+		.connection = request->connection,
+	};
+	struct late_request *late;
+
+	snprintf(order.path, sizeof(order.path), "%s", request->http.path);
+	if (!httpd_header(&request->http, "jayspoke-expect-instance",
+			  order.expected, sizeof(order.expected)))
+		order.expected[0] = '\0';
+	if (loop_now_ms() >= p->table[at].late_until) {
+		handle_order(p, &p->table[at], &order);
+		json_decref(order.body);
+		return;
+	}
+	late = xcalloc(1, sizeof(*late));
+	*late = (struct late_request){ .p = p, .minion = at, .order = order };
+	late->timer = (struct timer){ .fn = on_late_request, .ctx = late };
+	timer_start(p->loop, &late->timer, p->link_delay_ms);
 }
 
 /* Handles an advice request: all but every third minion is eligible. */
@@ -979,11 +1115,25 @@
 	}
 }
 
+/* Makes the links of the minions of a list late. */
+static void delay_links(struct platform_minions *p, const json_t *list,
+			uint64_t until)
+{
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		json_int_t at = json_integer_value(json_array_get(list, i));
+
+		if (at >= 0 && at < p->count)
+			p->table[at].late_until = until;
+	}
+}
+
 /*
  * Injects a fault: {"late_orders": N, "late_ms": M}, or one of "crash",
  * "drain", "grey" and "hang" with the index of a minion and "for_ms", or "cut"
- * with a list of these. A minion that is cut does not reach the store; it still
- * serves its callers. Returns false if @change names none of these.
+ * or "late_links" with a list of these. A minion that is cut does not reach the
+ * store; it still serves its callers. Requests on late links take "delay_ms" to
+ * their minion, and responses as long to the caller. Returns false if @change
+ * names none of these.
  */
 bool platform_minions_fault(struct platform_minions *p, const json_t *change)
 {
@@ -1001,6 +1151,11 @@
 		cut_off(p, json_object_get(change, "cut"), until);
 		return true;
 	}
+	if (json_object_get(change, "late_links")) {
+		p->link_delay_ms = (uint32_t)get_u64(change, "delay_ms");
+		delay_links(p, json_object_get(change, "late_links"), until);
+		return true;
+	}
 	json_object_foreach((json_t *)change, key, value)
 	{
 		if (!json_is_integer(value) || json_integer_value(value) < 0 ||
@@ -1047,14 +1202,17 @@
 		json_array_append_new(violations,
 				      json_string(p->violations[i]));
 	return json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:o,s:o,s:o}", "twice",
-		(json_int_t)p->twice, "after_done", (json_int_t)p->after_done,
-		"over_capacity", (json_int_t)p->over_capacity, "over_budget",
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:o,s:o,s:o}",
+		"twice", (json_int_t)p->twice, "after_done",
+		(json_int_t)p->after_done, "after_listed",
+		(json_int_t)p->after_listed, "over_capacity",
+		(json_int_t)p->over_capacity, "over_budget",
 		(json_int_t)p->over_budget, "too_early",
 		(json_int_t)p->too_early, "fenced", (json_int_t)p->fenced,
 		"questions", (json_int_t)p->advice_requests, "running",
-		(int)running, "done", (int)done, "starts", starts, "tasks",
-		tasks, "faults", violations);
+		(int)running, "late_answers", (int)p->late_answers, "done",
+		(int)done, "starts", starts, "tasks", tasks, "faults",
+		violations);
 }
 
 struct platform_minions *platform_minions_new(struct loop *loop,
--- a/tests/process/11-fake-minions.sh
+++ b/tests/process/11-fake-minions.sh
@@ -88,11 +88,44 @@
 check_equal "the failure is observed" 200 "$(observe_ends 3 2)"
 counts "the start counts now" 2 2 1
 
-# --- Entries and the store -------------------------------------------------
-check_equal "all minions have entries" 4 "$(entries)"
+# --- Late links ------------------------------------------------------------
 fault_platform() {
 	http -f -X POST "http://$STORE/platform" -d "$1" >/dev/null
 }
+# after_listed: starts of the task e.0.0.0 that come after a listed end.
+after_listed() {
+	store_stat '[.minions.faults[] |
+		select(startswith("after-listed task=e.0.0.0"))] | length'
+}
+# gives_up SECONDS PATH BODY: a call of minion 0 whose caller does not wait.
+gives_up() {
+	check_equal "a caller gives up after $1 s" 000 "$(status_of -m "$1" \
+		-X POST "http://127.0.0.1:$((BASE + 3))$2" -d "$3")"
+}
+total=$(store_stat .minions.after_listed)
+clock=$(http -X POST "http://127.0.0.1:$((BASE + 3))/hold" \
+	-d '{"fencing_token":1,"observed":0}' | jq .clock_ms)
+check "the links of a minion are late" fault_platform \
+	'{"late_links":[0],"delay_ms":400,"for_ms":4000}'
+gives_up 0.1 /run-start '{"task":"e.0.0.0","run":1,"fencing_token":1,
+	"deadline_ms":'$((clock + 5900))',"spec":"{\"run_ms\":50}"}'
+check_equal "nothing runs yet" null "$(store_stat '.minions.tasks["e.0.0.0"]')"
+wait_for "the run starts and ends" ended e.0.0.0 1
+check_equal "another one starts" 200 "$(begin 1 e.0.0.0 2 50)"
+sleep 0.2
+check_equal "an end that is not listed does not count" 0 "$(after_listed)"
+gives_up 0.6 /hold '{"fencing_token":1,"observed":0}'
+sleep 0.2
+check_equal "the start counts since the end was listed" 1 \
+	"$(after_listed)"
+check_equal "a third run starts" 200 "$(begin 2 e.0.0.0 3 50)"
+check_equal "it counts at once" 2 "$(after_listed)"
+check "both are counted" [ "$(store_stat .minions.after_listed)" -ge \
+	$((total + 2)) ]
+counts "no caller has observed the end" 2 2 1
+
+# --- Entries and the store -------------------------------------------------
+check_equal "all minions have entries" 4 "$(entries)"
 check "a minion is cut off from the store" fault_platform '{"cut":[0],"for_ms":3000}'
 wait_for "its entry lapses" entries_are 3
 check_equal "it still serves" 200 "$(observe_ends 0 0)"
