--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -50,6 +50,7 @@
 	const char *ticket;	/* NULL: none */
 	const char *checkpoint; /* NULL: none */
 	uint64_t deadline_ms;	/* lease expiry, clock of the minion */
+	uint32_t timeout_ms;	/* of the response */
 };
 
 struct cell_stop {
@@ -58,6 +59,7 @@
 	const char *minion_id;
 	char task[CELL_TASK_MAX];
 	uint64_t run;
+	uint32_t timeout_ms; /* of the response */
 };
 
 /* Throttles a run. */
@@ -67,7 +69,8 @@
 	const char *minion_id;
 	char task[CELL_TASK_MAX];
 	uint64_t run;
-	uint32_t percent; /* of full speed, 0 to 100 */
+	uint32_t percent;    /* of full speed, 0 to 100 */
+	uint32_t timeout_ms; /* of the response */
 };
 
 /* Advice request: which of the minions may run a step? */
@@ -109,6 +112,15 @@
 };
 
 /* A state change, for the log. */
+/* What is known of the lease of a minion, in ms of the clock of the minion. */
+struct cell_lease_state {
+	uint64_t clock_ms;	  /* as last reported */
+	uint64_t clock_age_ms;	  /* since that report */
+	uint64_t estimate_ms;	  /* present clock, if it does not drift */
+	uint64_t deadline_ms;	  /* latest that was sent, 0: none */
+	uint64_t deadline_age_ms; /* since it was sent */
+};
+
 struct cell_event {
 	const char *what; /* event name, static */
 	const char *job;  /* NULL: none */
@@ -119,6 +131,7 @@
 	uint64_t age_ms;    /* of the job, run, step or request */
 	uint64_t input;	    /* measured value behind the decision, 0: none */
 	uint64_t value;
+	const struct cell_lease_state *lease; /* NULL: none */
 };
 
 struct cell_ops {
@@ -213,6 +226,9 @@
 	uint64_t observed;    /* ends up to this number are acknowledged */
 	uint64_t deadline_ms; /* 0: the lease is not renewed */
 	uint32_t wait_ms;     /* long poll: max. wait for an end */
+	uint64_t sent_ms;     /* returned with the response */
+	uint32_t timeout_ms;  /* of the response, with wait_ms */
+	bool fresh;	      /* on a new connection: others may be dead */
 };
 
 enum cell_result {
@@ -250,6 +266,8 @@
 	uint64_t tasks_given_up;
 	uint64_t duplicate_runs; /* found beside another run of their task */
 	uint32_t failing;	 /* listed minions that do not respond */
+	/* Longest time, of all zones, that a response to an order may take. */
+	uint32_t order_timeout_ms;
 	uint64_t used_cpu_milli;
 	uint64_t total_cpu_milli;
 };
@@ -289,7 +307,8 @@
 		    const struct cell_report *report, uint64_t sent_ms,
 		    uint64_t now_ms);
 void cell_on_poll_failed(struct cell *cell, uint32_t minion, const char *id,
-			 enum cell_result result, uint64_t now_ms);
+			 enum cell_result result, uint64_t sent_ms,
+			 uint64_t now_ms);
 void cell_on_start(struct cell *cell, uint32_t minion, const char *task,
 		   uint64_t run, enum cell_result result, uint64_t now_ms);
 void cell_on_stop(struct cell *cell, uint32_t minion, const char *task,
