Simulated cell with zones whose links are late

The simulation answered each call after 1 to 12 ms or not at all, with timeouts of its own, so it could not show what late responses do. A call now has the timeout that the scheduler asks for, and a response that comes later than that is dropped, while its request stays carried out. Minions have zones, and late_links_every_ms makes the links of one late by 0.1 to 1.2 s each way, for 1 to 12 s; reports are then as of their sending.

after_listed counts starts after an end that its minion had listed 100 ms before in a lease that had not lapsed, whoever read the response.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -20,13 +20,19 @@
 #define TICKET_VALID_MS 2500
 #define TICK_MS 20
 #define LIST_INTERVAL_MS 600
-#define ORDER_TIMEOUT_MS 600
 #define RECORD_LATENCY_MS 14
 #define PREDECESSOR_LEASE_MS 7400
 /* From when on a smaller capacity binds: 4 s of contact and one heartbeat. */
 #define SHRINK_GRACE_MS 5000
 /* Ends that a report lists at most, the oldest first. */
 #define ENDS_LISTED_MAX 20
+/* A listed end counts as taken note of after this time. */
+#define LISTED_NOTE_MS 100
+/* Late links of a zone: how long, and the delay each way. */
+#define LATE_MIN_MS 1000
+#define LATE_SPREAD_MS 11000
+#define LATE_DELAY_MIN_MS 200
+#define LATE_DELAY_SPREAD_MS 600
 /*
  * No faults are injected in this last part of the simulation, so that all jobs
  * can finish: queued advice requests of deposed holders may occupy the advice
@@ -55,7 +61,15 @@
 	SIM_RACK_CRASH,
 	SIM_TASK_CRASH,
 	SIM_OUTAGE,
-	SIM_SHRINK
+	SIM_SHRINK,
+	SIM_LATE_LINKS
+};
+
+/* Response to a poll. */
+struct sim_report {
+	struct cell_report report;
+	struct cell_running *running;
+	struct cell_ended *ended;
 };
 
 /* Scheduled event; which fields are used depends on the kind. */
@@ -73,10 +87,13 @@
 	uint64_t observed;
 	uint64_t sent_ms;
 	uint32_t wait_ms;
+	uint32_t timeout_ms;
+	uint64_t call;	 /* of which this is a request or response, 0: none */
 	uint64_t seq;	 /* record number, or minion handle in the scheduler */
 	bool unanswered; /* the reply is lost */
 	char *checkpoint;
 	struct cell_advice_request *advice_request;
+	struct sim_report *report;
 };
 
 struct sim_run {
@@ -88,7 +105,10 @@
 };
 
 struct sim_end {
-	bool voided; /* the lease expired before it was reported */
+	bool voided;	    /* the lease expired before it was reported */
+	bool noted;	    /* as it was listed, see LISTED_NOTE_MS */
+	uint64_t listed_ms; /* first response that lists it, 0: none */
+	uint64_t ended_ms;
 	uint64_t number;
 	char task[CELL_TASK_MAX];
 	uint64_t run;
@@ -120,7 +140,9 @@
 
 struct sim_task {
 	bool done;
-	bool ever_done; /* set also by ends that were voided later */
+	bool ever_done;	     /* set also by ends that were voided later */
+	bool listed_done;    /* an end counts as taken note of */
+	uint64_t started_ms; /* latest start */
 	uint32_t failures;
 	uint32_t running;
 	uint64_t failed_run;
@@ -169,6 +191,11 @@
 	uint64_t order;
 	uint64_t random;
 	uint64_t outage_until_ms;
+	uint64_t *late_until_ms; /* by zone */
+	uint32_t *late_ms;	 /* delay each way, by zone */
+	bool *call_closed;	 /* answered or given up, by call */
+	uint64_t call_count;
+	uint64_t call_capacity;
 	struct event *heap;
 	uint32_t heap_count;
 	uint32_t heap_capacity;
@@ -288,6 +315,61 @@
 	return top;
 }
 
+static uint32_t zone_count(const struct cellsim *s)
+{
+	return s->settings->zones ? s->settings->zones : 1;
+}
+
+/* Returns how long a message to or from a minion takes. */
+static uint32_t link_delay_ms(struct cellsim *s, uint32_t minion)
+{
+	uint32_t zone = minion % zone_count(s);
+	uint32_t ms = network_delay_ms(s);
+
+	if (s->now >= s->late_until_ms[zone])
+		return ms;
+	return ms + draw_around(s, s->late_ms[zone]);
+}
+
+/*
+ * Opens a call: unless it is answered before, @answer arrives without a result
+ * after the timeout of the request @e.
+ */
+static void call_open(struct cellsim *s, struct event *e, enum sim_event answer)
+{
+	struct event expiry;
+
+	e->call = ++s->call_count;
+	if (e->call >= s->call_capacity) {
+		s->call_capacity =
+			s->call_capacity ? s->call_capacity * 2 : 1024;
+		s->call_closed = xrealloc(s->call_closed, s->call_capacity);
+	}
+	s->call_closed[e->call] = false;
+	expiry = *e;
+	expiry.kind = answer;
+	expiry.result = CELL_NO_ANSWER;
+	event_push(s, &expiry, e->timeout_ms);
+}
+
+/* Returns false if the call has been answered or given up before. */
+static bool call_close(struct cellsim *s, uint64_t call)
+{
+	if (s->call_closed[call])
+		return false;
+	s->call_closed[call] = true;
+	return true;
+}
+
+static void report_free(struct sim_report *report)
+{
+	if (!report)
+		return;
+	free(report->running);
+	free(report->ended);
+	free(report);
+}
+
 static struct cellsim *to_cellsim(struct cell_owner *owner)
 {
 	return (struct cellsim *)owner;
@@ -326,19 +408,14 @@
 						       NULL, 10),
 			   .seq = start->minion,
 			   .run = start->run,
-			   .deadline_ms = start->deadline_ms };
-	uint64_t in_ms = network_delay_ms(s);
+			   .deadline_ms = start->deadline_ms,
+			   .timeout_ms = start->timeout_ms };
+	uint64_t in_ms = link_delay_ms(s, e.minion);
 
 	memcpy(e.task, start->task, sizeof(e.task));
+	call_open(s, &e, SIM_START_ANSWERED);
 	s->result->starts++;
 	drop_reply(s, &e, &in_ms);
-	if (e.unanswered) {
-		struct event lost = e;
-
-		lost.kind = SIM_START_ANSWERED;
-		lost.result = CELL_NO_ANSWER;
-		event_push(s, &lost, ORDER_TIMEOUT_MS);
-	}
 	event_push(s, &e, in_ms);
 }
 
@@ -350,18 +427,13 @@
 			   .minion = (uint32_t)strtoul(stop->minion_id + 1,
 						       NULL, 10),
 			   .seq = stop->minion,
-			   .run = stop->run };
-	uint64_t in_ms = network_delay_ms(s);
+			   .run = stop->run,
+			   .timeout_ms = stop->timeout_ms };
+	uint64_t in_ms = link_delay_ms(s, e.minion);
 
 	memcpy(e.task, stop->task, sizeof(e.task));
+	call_open(s, &e, SIM_STOP_ANSWERED);
 	drop_reply(s, &e, &in_ms);
-	if (e.unanswered) {
-		struct event lost = e;
-
-		lost.kind = SIM_STOP_ANSWERED;
-		lost.result = CELL_NO_ANSWER;
-		event_push(s, &lost, ORDER_TIMEOUT_MS);
-	}
 	event_push(s, &e, in_ms);
 }
 
@@ -380,7 +452,9 @@
 	e.observed = poll.observed;
 	e.deadline_ms = poll.deadline_ms;
 	e.wait_ms = poll.wait_ms;
-	event_push(s, &e, network_delay_ms(s));
+	e.timeout_ms = poll.timeout_ms;
+	call_open(s, &e, SIM_POLL_ANSWERED);
+	event_push(s, &e, link_delay_ms(s, e.minion));
 }
 
 static bool is_eligible(const struct cellsim *s, const char *step,
@@ -579,6 +653,7 @@
 	end = &m->ends[m->end_count++];
 	*end = (struct sim_end){ .number = ++m->next_number,
 				 .run = run->run,
+				 .ended_ms = s->now,
 				 .end = how };
 	memcpy(end->task, run->task, sizeof(end->task));
 	note_past_run(m, run->task, run->run);
@@ -718,6 +793,10 @@
 	else if (task->done)
 		report_violation(s, &s->result->duplicate_runs,
 				 "%s started again after completion", e->task);
+	else if (task->listed_done)
+		report_violation(s, &s->result->after_listed,
+				 "%s started after its end was listed",
+				 e->task);
 	if ((c->gang ? job->gang_failures : task->failures) >= c->max_attempts)
 		report_violation(s, &s->result->over_max_attempts,
 				 "%s started after %u failures", e->task,
@@ -767,6 +846,7 @@
 	if (e->deadline_ms > m->lease_ms)
 		m->lease_ms = e->deadline_ms;
 	check_start(s, job, task, e);
+	task->started_ms = s->now;
 	m->runs = xrealloc(m->runs, (m->run_count + 1) * sizeof(*m->runs));
 	run = &m->runs[m->run_count++];
 	*run = (struct sim_run){ .run = e->run,
@@ -809,48 +889,78 @@
 	refused.kind = answer;
 	refused.result = CELL_NOT_SENT;
 	if (!e->unanswered)
-		event_push(s, &refused, network_delay_ms(s));
+		event_push(s, &refused, link_delay_ms(s, e->minion));
 	return true;
 }
 
 static void on_start_arrives(struct cellsim *s, struct event *e)
 {
-	bool unresponsive = is_unresponsive(s, e->minion);
-
-	if (refuse(s, e, SIM_START_ANSWERED))
+	if (refuse(s, e, SIM_START_ANSWERED) || is_unresponsive(s, e->minion))
 		return;
-	e->result = CELL_NO_ANSWER;
-	if (!unresponsive)
-		e->result = accept_start(s, e);
+	e->result = accept_start(s, e);
 	if (e->unanswered)
 		return;
 	e->kind = SIM_START_ANSWERED;
-	event_push(s, e, unresponsive ? ORDER_TIMEOUT_MS : network_delay_ms(s));
+	event_push(s, e, link_delay_ms(s, e->minion));
 }
 
 static void on_stop_arrives(struct cellsim *s, struct event *e)
 {
 	struct sim_minion *m = &s->minions[e->minion];
 	struct sim_run *run = run_find(m, e->task, e->run);
-	bool unresponsive = is_unresponsive(s, e->minion);
 
-	if (refuse(s, e, SIM_STOP_ANSWERED))
+	if (refuse(s, e, SIM_STOP_ANSWERED) || is_unresponsive(s, e->minion))
 		return;
-	e->result = unresponsive ? CELL_NO_ANSWER : CELL_OK;
-	if (!unresponsive && e->token >= m->token) {
+	e->result = CELL_OK;
+	if (e->token >= m->token) {
 		m->token = e->token;
 		note_past_run(m, e->task, e->run);
 		if (run) {
 			end_run(s, m, run, CELL_END_STOPPED);
 			end_gang(s, e->task, e->run, CELL_END_BROKEN);
 		}
-	} else if (!unresponsive) {
+	} else {
 		e->result = CELL_REJECTED_FENCE;
 	}
 	if (e->unanswered)
 		return;
 	e->kind = SIM_STOP_ANSWERED;
-	event_push(s, e, unresponsive ? ORDER_TIMEOUT_MS : network_delay_ms(s));
+	event_push(s, e, link_delay_ms(s, e->minion));
+}
+
+/* Returns the report of a minion as of now; lists its first ends. */
+static struct sim_report *report_new(struct cellsim *s, struct sim_minion *m)
+{
+	struct sim_report *r = xcalloc(1, sizeof(*r));
+
+	r->running = xcalloc(m->run_count + 1, sizeof(*r->running));
+	r->ended = xcalloc(m->end_count + 1, sizeof(*r->ended));
+	for (uint32_t i = 0; i < m->run_count; i++) {
+		memcpy(r->running[i].task, m->runs[i].task, CELL_TASK_MAX);
+		r->running[i].run = m->runs[i].run;
+	}
+	r->report = (struct cell_report){
+		.born_unix_ms = UNIX_BASE + m->boot_ms,
+		.clock_ms = clock_of(s, m),
+		.running = r->running,
+		.running_count = m->run_count,
+		.ended = r->ended,
+		.ended_count = m->end_count,
+		.more_ends = m->end_count > ENDS_LISTED_MAX,
+	};
+	if (r->report.more_ends)
+		r->report.ended_count = ENDS_LISTED_MAX;
+	for (uint32_t i = 0; i < r->report.ended_count; i++) {
+		struct sim_end *end = &m->ends[i];
+
+		memcpy(r->ended[i].task, end->task, CELL_TASK_MAX);
+		r->ended[i].number = end->number;
+		r->ended[i].run = end->run;
+		r->ended[i].end = end->end;
+		if (!end->listed_ms)
+			end->listed_ms = s->now;
+	}
+	return r;
 }
 
 static void answer_poll(struct cellsim *s, struct sim_minion *m)
@@ -863,7 +973,10 @@
 	e = m->poll;
 	e.kind = SIM_POLL_ANSWERED;
 	e.result = CELL_OK;
-	event_push(s, &e, network_delay_ms(s));
+	/* Otherwise the report is as of its arrival. */
+	if (s->settings->late_links_every_ms)
+		e.report = report_new(s, m);
+	event_push(s, &e, link_delay_ms(s, e.minion));
 }
 
 static void on_poll_arrives(struct cellsim *s, struct event *e)
@@ -871,18 +984,12 @@
 	struct sim_minion *m = &s->minions[e->minion];
 	uint32_t kept = 0;
 
-	if (refuse(s, e, SIM_POLL_ANSWERED))
-		return;
-	if (is_unresponsive(s, e->minion)) {
-		e->kind = SIM_POLL_ANSWERED;
-		e->result = CELL_NO_ANSWER;
-		event_push(s, e, e->wait_ms + 700);
+	if (refuse(s, e, SIM_POLL_ANSWERED) || is_unresponsive(s, e->minion))
 		return;
-	}
 	if (e->token < m->token) {
 		e->kind = SIM_POLL_ANSWERED;
 		e->result = CELL_REJECTED_FENCE;
-		event_push(s, e, network_delay_ms(s));
+		event_push(s, e, link_delay_ms(s, e->minion));
 		return;
 	}
 	m->token = e->token;
@@ -909,42 +1016,20 @@
 static void on_poll_answered(struct cellsim *s, struct event *e)
 {
 	struct sim_minion *m = &s->minions[e->minion];
-	struct cell_running *running;
-	struct cell_ended *ended;
-	struct cell_report report = { .born_unix_ms = UNIX_BASE + m->boot_ms,
-				      .clock_ms = clock_of(s, m) };
 
-	if (e->token != s->token)
+	if (!call_close(s, e->call) || e->token != s->token)
 		return;
 	/* The connection broke before the response was sent. */
 	if (e->result == CELL_OK && s->now < m->down_until_ms)
 		e->result = CELL_NO_ANSWER;
-	if (e->result != CELL_OK) {
+	if (e->result == CELL_OK && !e->report)
+		e->report = report_new(s, m);
+	if (e->result == CELL_OK)
+		cell_on_report(s->cell, (uint32_t)e->seq, m->id,
+			       &e->report->report, e->sent_ms, s->now);
+	else
 		cell_on_poll_failed(s->cell, (uint32_t)e->seq, m->id, e->result,
 				    e->sent_ms, s->now);
-		return;
-	}
-	running = xcalloc(m->run_count + 1, sizeof(*running));
-	ended = xcalloc(m->end_count + 1, sizeof(*ended));
-	for (uint32_t i = 0; i < m->run_count; i++) {
-		memcpy(running[i].task, m->runs[i].task, CELL_TASK_MAX);
-		running[i].run = m->runs[i].run;
-	}
-	report.more_ends = m->end_count > ENDS_LISTED_MAX;
-	report.ended_count = report.more_ends ? ENDS_LISTED_MAX : m->end_count;
-	for (uint32_t i = 0; i < report.ended_count; i++) {
-		memcpy(ended[i].task, m->ends[i].task, CELL_TASK_MAX);
-		ended[i].number = m->ends[i].number;
-		ended[i].run = m->ends[i].run;
-		ended[i].end = m->ends[i].end;
-	}
-	report.running = running;
-	report.running_count = m->run_count;
-	report.ended = ended;
-	cell_on_report(s->cell, (uint32_t)e->seq, m->id, &report, e->sent_ms,
-		       s->now);
-	free(running);
-	free(ended);
 }
 
 static void on_run_ends(struct cellsim *s, const struct event *e)
@@ -1089,6 +1174,9 @@
 		snprintf(info->id, sizeof(info->id), "%s", s->minions[i].id);
 		snprintf(info->addr, sizeof(info->addr), "10.0.0.1:80");
 		snprintf(info->service, sizeof(info->service), "svc");
+		if (s->settings->zones)
+			snprintf(info->az, sizeof(info->az), "z%u",
+				 i % s->settings->zones);
 		info->capacity.cpu_milli =
 			capacity_of(s->settings->cpu_milli, m, is_shrunk(s, m));
 		info->capacity.mem_mb =
@@ -1187,11 +1275,37 @@
 		job->tasks[name.index].failures--;
 }
 
+/* Notes the ends of done tasks that were listed long enough ago. */
+static void note_listed_ends(struct cellsim *s, struct sim_minion *m)
+{
+	for (uint32_t i = 0; i < m->end_count; i++) {
+		struct sim_end *end = &m->ends[i];
+		struct cell_task_name name;
+		struct sim_task *task;
+
+		if (!end->listed_ms || end->noted || end->voided ||
+		    end->end != CELL_END_DONE ||
+		    s->now < end->listed_ms + LISTED_NOTE_MS)
+			continue;
+		end->noted = true;
+		if (end->listed_ms + LISTED_NOTE_MS - m->boot_ms + 1000 >
+		    m->lease_ms)
+			continue;
+		task = &job_find(s, end->task, &name)->tasks[name.index];
+		task->listed_done = true;
+		if (task->started_ms > end->ended_ms)
+			report_violation(s, &s->result->after_listed,
+					 "%s started after its end was listed",
+					 end->task);
+	}
+}
+
 static void expire_leases(struct cellsim *s)
 {
 	for (uint32_t i = 0; i < s->settings->minions; i++) {
 		struct sim_minion *m = &s->minions[i];
 
+		note_listed_ends(s, m);
 		for (uint32_t k = 0;
 		     k < m->end_count && clock_of(s, m) > m->lease_ms; k++)
 			void_end(s, &m->ends[k]);
@@ -1271,6 +1385,19 @@
 	event_push(s, e, draw_around(s, s->settings->shrink_every_ms));
 }
 
+static void on_late_links(struct cellsim *s, struct event *e)
+{
+	uint32_t zone = (uint32_t)(draw(s) % zone_count(s));
+
+	if (s->now >= s->late_until_ms[zone]) {
+		s->late_ms[zone] = LATE_DELAY_MIN_MS +
+				   (uint32_t)(draw(s) % LATE_DELAY_SPREAD_MS);
+		s->late_until_ms[zone] =
+			s->now + LATE_MIN_MS + draw(s) % LATE_SPREAD_MS;
+	}
+	event_push(s, e, draw_around(s, s->settings->late_links_every_ms));
+}
+
 static void on_task_crash(struct cellsim *s, const struct event *e)
 {
 	struct sim_minion *m = &s->minions[e->minion];
@@ -1308,7 +1435,8 @@
 {
 	return kind == SIM_TAKEOVER || kind == SIM_UNRESPONSIVE ||
 	       kind == SIM_CRASH || kind == SIM_RACK_CRASH ||
-	       kind == SIM_SHRINK || kind == SIM_OUTAGE;
+	       kind == SIM_SHRINK || kind == SIM_OUTAGE ||
+	       kind == SIM_LATE_LINKS;
 }
 
 static void dispatch(struct cellsim *s, struct event *e)
@@ -1330,7 +1458,7 @@
 		on_start_arrives(s, e);
 		break;
 	case SIM_START_ANSWERED:
-		if (current)
+		if (call_close(s, e->call) && current)
 			cell_on_start(s->cell, handle, e->task, e->run,
 				      e->result, s->now);
 		break;
@@ -1338,7 +1466,7 @@
 		on_stop_arrives(s, e);
 		break;
 	case SIM_STOP_ANSWERED:
-		if (current)
+		if (call_close(s, e->call) && current)
 			cell_on_stop(s->cell, handle, e->task, e->run,
 				     e->result, s->now);
 		break;
@@ -1352,6 +1480,7 @@
 		break;
 	case SIM_POLL_ANSWERED:
 		on_poll_answered(s, e);
+		report_free(e->report);
 		break;
 	case SIM_ADVISED:
 		on_advised(s, e);
@@ -1390,6 +1519,9 @@
 	case SIM_SHRINK:
 		on_shrink(s, e);
 		break;
+	case SIM_LATE_LINKS:
+		on_late_links(s, e);
+		break;
 	case SIM_OUTAGE:
 		s->outage_until_ms = s->now + 1000 + draw(s) % 3000;
 		event_push(s, e, draw_around(s, s->settings->outage_every_ms));
@@ -1414,6 +1546,8 @@
 	s->owner.ops = &sim_ops;
 	s->now = START_MS;
 	s->random = set->seed * 0x9E3779B97F4A7C15ULL + 1;
+	s->late_until_ms = xcalloc(zone_count(s), sizeof(*s->late_until_ms));
+	s->late_ms = xcalloc(zone_count(s), sizeof(*s->late_ms));
 	s->minions = xcalloc(set->minions, sizeof(*s->minions));
 	for (uint32_t i = 0; i < set->minions; i++) {
 		s->minions[i].boot_ms = 1;
@@ -1451,6 +1585,7 @@
 	schedule_fault(s, SIM_RACK_CRASH, set->rack_crash_every_ms);
 	schedule_fault(s, SIM_OUTAGE, set->outage_every_ms);
 	schedule_fault(s, SIM_SHRINK, set->shrink_every_ms);
+	schedule_fault(s, SIM_LATE_LINKS, set->late_links_every_ms);
 }
 
 /*
@@ -1550,6 +1685,7 @@
 
 		if (e.kind == SIM_ADVISED)
 			free(e.advice_request);
+		report_free(e.report);
 	}
 	HASH_ITER(hh, s->jobs, job, tmp)
 	{
@@ -1566,6 +1702,9 @@
 	free(s->minions);
 	free(s->records);
 	free(s->heap);
+	free(s->late_until_ms);
+	free(s->late_ms);
+	free(s->call_closed);
 	free(s->config.queues);
 }
 
--- a/fakes/cellsim.h
+++ b/fakes/cellsim.h
@@ -60,6 +60,10 @@
 	uint32_t outage_every_ms;	/* of the store, for 1 to 4 s */
 	/* The capacity of a minion shrinks to 30 to 90%, for 1 to 8 s. */
 	uint32_t shrink_every_ms;
+	uint32_t zones; /* of the minions, in turn; 0: one */
+	/* The links of a zone are late by 0.1 to 1.2 s each way, for 1 to 12 s.
+	 */
+	uint32_t late_links_every_ms;
 	/* Crashed minions refuse connections for this long, 0: 300 ms silent.
 	 */
 	uint32_t restart_ms;
@@ -105,6 +109,8 @@
 	uint32_t over_crash_budget; /* third start after CRASH_BUDGET */
 	uint32_t given_up;	    /* failed, though it could be done */
 	uint32_t unfinished;
+	/* Means something only if nothing else is disrupted than links. */
+	uint32_t after_listed;	   /* starts after an end that was listed */
 	char first_violation[160]; /* empty if none */
 };
 
--- a/tests/cellsim_test.cc
+++ b/tests/cellsim_test.cc
@@ -226,6 +226,23 @@
 	expect_invariants(r, s);
 }
 
+/*
+ * The same when the links of a zone are late, and guards against starts after
+ * an end that its minion has listed, whoever read the response.
+ */
+RC_GTEST_PROP(Cellsim, InvariantsHoldWhileLinksAreLate, ())
+{
+	struct cellsim_settings s =
+		base_settings(*rc::gen::inRange(1, 1 << 30));
+	struct cellsim_result r;
+
+	s.zones = *rc::gen::inRange(1, 5);
+	s.late_links_every_ms = *rc::gen::inRange(1000, 10000);
+	cellsim_run(&s, &r);
+	expect_invariants(r, s);
+	RC_ASSERT(r.after_listed == 0U);
+}
+
 /*
  * Guards against gangs that starve because smaller steps with slack left take
  * the capacity. 95% of the jobs of each class must meet their SLO.
