Ignore a report of a former life whose poll overlapped with that of the next

Callers saw a task run twice: two polls of a minion that restarts under its id are open at the same time, the next life answers the first one and the former life the second one. Of two reports of different lives, the one whose poll was sent later counted as that of the newer life, so the runs of the present life were released and started again.

Polls on different connections may be carried out in any order. Only a poll that was sent after the latest report arrived is certain to meet the same life or a later one, so a report of another life counts only then; otherwise the minion is polled again.

The test failed before: two starts instead of one.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -189,6 +189,7 @@
 	uint64_t next_poll_ms;
 	uint64_t born_unix_ms;
 	uint64_t report_sent_ms; /* latest poll that was answered */
+	uint64_t reported_ms;	 /* latest report */
 	bool clock_known;
 	uint64_t anchor_clock_ms; /* clock of the minion at anchor_ms */
 	uint64_t anchor_ms;
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -751,9 +751,15 @@
 				       now_ms - sent_ms - poll.wait_ms);
 	another_life = m->born_unix_ms && report->born_unix_ms &&
 		       m->born_unix_ms != report->born_unix_ms;
-	/* A response may be overtaken by that of a later life. */
-	if (another_life && sent_ms < m->report_sent_ms)
+	/*
+	 * Polls that are open at the same time may be carried out in any order,
+	 * and a response may be overtaken by that of a later life.
+	 */
+	if (another_life && sent_ms < m->reported_ms) {
+		m->poll_now = true;
 		return;
+	}
+	m->reported_ms = now_ms;
 	if (sent_ms > m->report_sent_ms)
 		m->report_sent_ms = sent_ms;
 	if (another_life) {
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -39,6 +39,27 @@
 	EXPECT_EQ(f.stops.size(), 1U);
 }
 
+TEST(Restart, ReportOfTheFormerLifeThatWasRequestedLaterIsIgnored)
+{
+	StartedTask f;
+	std::vector<Row> rows;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	rows.push_back({ "j.0.0.0", f.starts[0].run, "" });
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, rows, {}, 100);
+	f.durable();
+	f.tick(100);
+	f.born_unix_ms = 1;
+	f.report(f.minion, f.id, {}, {}, 150);
+	f.durable();
+	f.tick(100);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
+
 TEST(Restart, LateAnswerFromAFormerAddressDoesNotReleaseRuns)
 {
 	StartedTask f;
