Hold a task whose start may take effect in the next life of its minion

Callers saw a task run twice: a minion restarted under the same id while a start was on its way. The holder found another life, released all runs of the minion and started the task again; the first start then arrived in the next life, which knows neither a fencing token nor the stop of the run.

A report of another life proves only that runs are gone whose start had been acknowledged before it was requested. The others stay with the minion and are stopped there; their tasks are released when that stop is acknowledged and a later report shows neither the run nor its end. Stops that were sent to, or acknowledged by, the former life count for nothing, also if the response comes later. A start that the next life acknowledged before the holder knew of it is kept as well, until a report shows whether it runs. A member of a gang that is held keeps the gang from starting again. While runs are kept the minion stays enrolled, so that a successor waits for it.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -133,6 +133,7 @@
 	bool isolated;	     /* of a suspect, started in isolation */
 	bool stopping;
 	bool stop_in_flight;
+	bool stop_void;		/* that stop may have reached an earlier life */
 	uint64_t next_stop_ms;	/* next attempt */
 	uint64_t stop_acked_ms; /* 0: not acknowledged */
 	bool in_report;		/* listed in the report being processed */
@@ -454,6 +455,12 @@
 void cell_minion_remove(struct cell *cell, const char *id);
 void cell_run_remove(struct cell *cell, struct cell_minion *m, uint32_t at);
 
+/* unanswered.c */
+bool cell_run_may_begin(const struct cell_run *run, uint64_t sent_ms);
+void cell_run_void_stops(struct cell_run *run);
+void cell_unanswered_stop(struct cell *cell, struct cell_minion *m,
+			  uint64_t now_ms);
+
 /* pace.c */
 bool cell_minion_needs_pacing(const struct cell_minion *m);
 uint32_t cell_minion_poll_wait_ms(const struct cell *cell,
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -238,33 +238,26 @@
 }
 
 /*
- * Logs the runs that are lost with their minion: for each, how long it had run
- * when the minion failed, and how many others ran beside it.
+ * Logs a run that is lost with its minion: how long it had run when the minion
+ * failed, and how many others ran beside it.
  */
-static void log_lost_runs(struct cell *cell, const struct cell_minion *m,
-			  const char *why, uint64_t now_ms)
+static void log_lost_run(struct cell *cell, const struct cell_minion *m,
+			 const struct cell_run *run, const char *why,
+			 uint32_t others, uint64_t now_ms)
 {
 	uint64_t failed_ms = m->failing ? m->failing_ms : now_ms;
 
-	if (!m->run_count)
-		return;
-	cell->stats.minions_lost++;
-	cell->stats.runs_lost += m->run_count;
-	for (uint32_t i = 0; i < m->run_count; i++) {
-		const struct cell_run *run = &m->runs[i];
-
-		cell_event(cell,
-			   &(struct cell_event){
-				   .what = "run-lost",
-				   .task = run->task,
-				   .minion = m->info.id,
-				   .run = run->run,
-				   .detail = why,
-				   .age_ms = failed_ms > run->sent_ms
-						     ? failed_ms - run->sent_ms
-						     : 0,
-				   .value = m->run_count - 1 });
-	}
+	cell->stats.runs_lost++;
+	cell_event(cell, &(struct cell_event){
+				 .what = "run-lost",
+				 .task = run->task,
+				 .minion = m->info.id,
+				 .run = run->run,
+				 .detail = why,
+				 .age_ms = failed_ms > run->sent_ms
+						   ? failed_ms - run->sent_ms
+						   : 0,
+				 .value = others });
 }
 
 /* Logs that a minion responds again. */
@@ -318,35 +311,61 @@
 }
 
 /*
- * Settles a minion: nothing runs on it, and no start that was sent earlier can
- * take effect there, except in the next life of one that restarts meanwhile.
+ * Releases the runs that are lost with a life of their minion. If the report of
+ * another life was requested at @sent_ms, those that may begin there are kept.
+ * It is 0 if the minion does not respond: a start that arrives later has no
+ * lease left, except in another life.
  */
-static void minion_settle(struct cell *cell, struct cell_minion *m,
-			  const char *why, uint64_t now_ms)
+static void release_lost_runs(struct cell *cell, struct cell_minion *m,
+			      const char *why, uint64_t sent_ms,
+			      uint64_t now_ms)
 {
-	log_settled(cell, m, why, now_ms);
-	log_lost_runs(cell, m, why, now_ms);
-	while (m->run_count) {
-		struct cell_run run = m->runs[0];
+	uint32_t others = m->run_count - 1;
+	bool lost = false;
+	uint32_t i = 0;
+
+	while (i < m->run_count) {
+		struct cell_run run = m->runs[i];
 
-		cell_run_remove(cell, m, 0);
+		if (sent_ms && cell_run_may_begin(&run, sent_ms)) {
+			cell_run_void_stops(&m->runs[i++]);
+			continue;
+		}
+		lost = true;
+		log_lost_run(cell, m, &run, why, others, now_ms);
+		cell_run_remove(cell, m, i);
 		cell_task_release(cell, run.task, run.run, now_ms);
 	}
+	cell->stats.minions_lost += lost;
+}
+
+/*
+ * Settles a minion: nothing of its former life runs on it. @sent_ms as in
+ * release_lost_runs(). While runs are kept, the minion remains enrolled: a
+ * successor has to know of them.
+ */
+static void minion_settle(struct cell *cell, struct cell_minion *m,
+			  const char *why, uint64_t sent_ms, uint64_t now_ms)
+{
+	log_settled(cell, m, why, now_ms);
+	release_lost_runs(cell, m, why, sent_ms, now_ms);
 	if (m->inherited) {
 		m->inherited = false;
 		cell->unsettled--;
 	}
-	if (m->enrolled || m->enrolling)
-		cell_record_add(
-			cell,
-			&(struct cell_record){ .kind = CELL_RECORD_SETTLED,
-					       .minion = m->info.id },
-			NULL, NULL, 0, now_ms);
-	m->enrolled = false;
-	m->enrolling = false;
+	if (!m->run_count) {
+		if (m->enrolled || m->enrolling)
+			cell_record_add(cell,
+					&(struct cell_record){
+						.kind = CELL_RECORD_SETTLED,
+						.minion = m->info.id },
+					NULL, NULL, 0, now_ms);
+		m->enrolled = false;
+		m->enrolling = false;
+		m->lease_until_ms = 0;
+	}
 	m->contacted = false;
 	m->clock_known = false;
-	m->lease_until_ms = 0;
 	m->deadline_ms = 0;
 	/* Ends and acknowledgements of this incarnation are void. */
 	m->incarnation++;
@@ -765,7 +784,7 @@
 	if (another_life) {
 		set_failing(m, false, now_ms);
 		cell_minion_blame(cell, m, now_ms);
-		minion_settle(cell, m, "another life", now_ms);
+		minion_settle(cell, m, "another life", sent_ms, now_ms);
 	} else if (m->failing) {
 		log_back(cell, m, now_ms);
 		cell_minion_clear_runs(cell, m, now_ms);
@@ -787,6 +806,8 @@
 		handle_running(cell, m, &report->running[i], now_ms);
 	if (complete)
 		remove_missing_runs(cell, m, sent_ms, now_ms);
+	if (another_life)
+		cell_unanswered_stop(cell, m, now_ms);
 	cell_minion_update_pace(cell, m, now_ms);
 	if (!m->contacted)
 		handle_first_report(cell, m, report, now_ms);
@@ -835,7 +856,7 @@
 		set_failing(m, false, now_ms);
 		cell_minion_blame(cell, m, now_ms);
 		if (m->enrolled || m->run_count || m->inherited)
-			minion_settle(cell, m, "replaced", now_ms);
+			minion_settle(cell, m, "replaced", 0, now_ms);
 		m->next_poll_ms = now_ms + POLL_RETRY_SLOW_MS;
 		return;
 	}
@@ -932,7 +953,10 @@
 	if (!r)
 		return;
 	r->stop_in_flight = false;
-	if (result == CELL_OK) {
+	if (r->stop_void) {
+		r->stop_void = false;
+		r->next_stop_ms = now_ms;
+	} else if (result == CELL_OK) {
 		r->stop_acked_ms = now_ms;
 		/* Only a later report shows whether it ever started. */
 		m->poll_now |= !r->acked_ms;
@@ -971,7 +995,7 @@
 		if (job)
 			job->confirm_after_ms = now_ms;
 	}
-	minion_settle(cell, m, why, now_ms);
+	minion_settle(cell, m, why, 0, now_ms);
 }
 
 /*
@@ -1002,7 +1026,7 @@
 	/* A successor need not wait for a minion that is about to leave. */
 	if (m->drain_ms && m->enrolled && !m->inherited && !m->run_count &&
 	    records_durable(cell, m))
-		minion_settle(cell, m, "drained", now_ms);
+		minion_settle(cell, m, "drained", 0, now_ms);
 	minion_enroll(cell, m, now_ms);
 	if (m->inherited && !leased && (!m->contacted || m->failing))
 		settle_by_time(cell, m, "leases of earlier terms ended",
@@ -1011,7 +1035,7 @@
 	    !m->inherited && records_durable(cell, m) &&
 	    now_ms > m->unlisted_ms + UNLISTED_TIMEOUT_MS) {
 		if (m->enrolled)
-			minion_settle(cell, m, "left", now_ms);
+			minion_settle(cell, m, "left", 0, now_ms);
 		if (!cell_poll_is_open(m)) {
 			minion_free(cell, m);
 			return;
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -22,6 +22,15 @@
 		minion = starts[0].minion;
 		id = starts[0].minion_id;
 	}
+
+	/* Answers the latest stop. */
+	void stopped(enum cell_result result)
+	{
+		ASSERT_FALSE(stops.empty());
+		cell_on_stop(cell, stops.back().minion,
+			     stops.back().task.c_str(), stops.back().run,
+			     result, now);
+	}
 };
 
 } // namespace
@@ -39,6 +48,109 @@
 	EXPECT_EQ(f.stops.size(), 1U);
 }
 
+TEST(Restart, HeldTaskStartsOnceTheNextLifeHasStoppedItsRun)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.stopped(CELL_OK);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.report(f.minion, f.id, {}, {}, 200);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.report(f.minion, f.id, {}, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
+TEST(Restart, StopAcknowledgedByTheFormerLifeDoesNotReleaseRuns)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(600);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	f.tick(100);
+	ASSERT_EQ(f.stops.size(), 1U);
+	f.stopped(CELL_OK);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.stops.size(), 2U);
+}
+
+TEST(Restart, LateResponseToAStopOfTheFormerLifeDoesNotReleaseRuns)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(600);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	f.tick(100);
+	ASSERT_EQ(f.stops.size(), 1U);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	f.stopped(CELL_OK);
+	f.tick(100);
+	f.report(f.minion, f.id, {}, {});
+	f.durable();
+	f.tick(400);
+	EXPECT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.stops.size(), 2U);
+}
+
+TEST(Restart, RunAcknowledgedByTheNextLifeIsNotStartedAgain)
+{
+	StartedTask f;
+	Row row = { "j.0.0.0", 0, "" };
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	row.run = f.starts[0].run;
+	f.tick(100);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", row.run, CELL_OK, f.now);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {}, 150);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.report(f.minion, f.id, { row }, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.stops.size(), 0U);
+}
+
+TEST(Restart, RunAcknowledgedByTheFormerLifeStartsAgain)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(100);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
+		      f.now);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
 TEST(Restart, ReportOfTheFormerLifeThatWasRequestedLaterIsIgnored)
 {
 	StartedTask f;
@@ -60,6 +172,33 @@
 	EXPECT_EQ(f.starts.size(), 1U);
 }
 
+TEST(Restart, GangDoesNotStartBesideAStartOfAFormerLife)
+{
+	CellFixture f;
+	struct cell_job_spec spec = CellFixture::job("g", "q", 2, 6000);
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(3, 8000);
+	spec.steps[0].gang = true;
+	f.submit(spec);
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.starts[0].minion, f.starts[0].minion_id, {}, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.stops.size(), 2U);
+	f.born_unix_ms = 1;
+	cell_on_start(f.cell, f.starts[1].minion, f.starts[1].task.c_str(),
+		      f.starts[1].run, CELL_REJECTED_OLD, f.now);
+	f.durable();
+	f.tick(100);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
 TEST(Restart, LateAnswerFromAFormerAddressDoesNotReleaseRuns)
 {
 	StartedTask f;
