Stop starts without a response in the next life of a minion that was given up

Callers saw a task run twice: a start had no response, and its task was released, as its minion was silent until its lease had ended, had been replaced, or had acknowledged a stop and reported nothing of the run. The minion then restarted under the same id within seconds, and the start arrived there.

The holder forgot the start with its release. It now stays with the minion for 10 s from its sending. If the minion is found in another life, the run is stopped there at once, and its task is held meanwhile if it still waits. The run may begin in the time between the restart and the stop: to hold every such task for 10 s would make each lost response that late.

The three new tests failed before: no stop was sent.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -211,6 +211,10 @@
 	uint32_t run_count;
 	uint32_t run_capacity;
 	struct cell_run *runs;
+	/* Removed from runs, though their starts have no response. */
+	struct cell_run *unanswered;
+	uint32_t unanswered_count;
+	uint32_t unanswered_capacity;
 	/* Tasks of the step being placed that still fit. */
 	uint32_t free_slots;
 	UT_hash_handle hh; /* by id */
@@ -458,6 +462,12 @@
 /* unanswered.c */
 bool cell_run_may_begin(const struct cell_run *run, uint64_t sent_ms);
 void cell_run_void_stops(struct cell_run *run);
+void cell_unanswered_add(struct cell_minion *m, const struct cell_run *run,
+			 uint64_t now_ms);
+struct cell_run *cell_unanswered_find(struct cell_minion *m, const char *task,
+				      uint64_t run);
+void cell_unanswered_remove(struct cell_minion *m, struct cell_run *run);
+void cell_unanswered_free(struct cell_minion *m);
 void cell_unanswered_stop(struct cell *cell, struct cell_minion *m,
 			  uint64_t now_ms);
 
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -97,6 +97,7 @@
 {
 	HASH_DEL(cell->minion_index, m);
 	free(m->runs);
+	cell_unanswered_free(m);
 	m->runs = NULL;
 	m->run_count = 0;
 	m->run_capacity = 0;
@@ -334,6 +335,8 @@
 		lost = true;
 		log_lost_run(cell, m, &run, why, others, now_ms);
 		cell_run_remove(cell, m, i);
+		if (!run.acked_ms)
+			cell_unanswered_add(m, &run, now_ms);
 		cell_task_release(cell, run.task, run.run, now_ms);
 	}
 	cell->stats.minions_lost += lost;
@@ -714,6 +717,8 @@
 			continue;
 		}
 		cell_run_remove(cell, m, i);
+		if (!run.acked_ms)
+			cell_unanswered_add(m, &run, now_ms);
 		cell_event(cell, &(struct cell_event){ .what = "run-missing",
 						       .task = run.task,
 						       .minion = m->info.id,
@@ -910,8 +915,12 @@
 	struct cell_run *r = m ? cell_run_find(m, task, run) : NULL;
 	struct cell_step *step;
 
-	if (!r)
+	if (!r) {
+		r = m ? cell_unanswered_find(m, task, run) : NULL;
+		if (r && result != CELL_NO_ANSWER)
+			cell_unanswered_remove(m, r);
 		return;
+	}
 	note_start_response(cell, m, r, result, now_ms);
 	if (result == CELL_OK) {
 		m->alive_ms = now_ms;
@@ -950,6 +959,8 @@
 	struct cell_run *r = m ? cell_run_find(m, task, run) : NULL;
 
 	(void)cell;
+	if (m && !r)
+		r = cell_unanswered_find(m, task, run);
 	if (!r)
 		return;
 	r->stop_in_flight = false;
@@ -1067,6 +1078,7 @@
 	HASH_CLEAR(hh, cell->minion_index);
 	for (uint32_t i = 0; i < cell->minion_count; i++) {
 		free(cell->minions[i]->runs);
+		cell_unanswered_free(cell->minions[i]);
 		free(cell->minions[i]);
 	}
 	free(cell->minions);
--- a/lib/cell/unanswered.c
+++ b/lib/cell/unanswered.c
@@ -4,8 +4,14 @@
  * restarts under the same id knows of neither, so the starts are stopped again
  * in its next life.
  */
+#include <stdlib.h>
+#include <string.h>
+
 #include "cell/cell_int.h"
 
+/* How long an order without a response may still be carried out, in ms. */
+#define LATE_ORDER_MS 10000
+
 /*
  * Returns true if the run may be in a life of its minion of which a report was
  * requested at @sent_ms and does not show it: an earlier life had not
@@ -27,6 +33,75 @@
 	run->next_stop_ms = 0;
 }
 
+/* Returns a run that is kept by cell_unanswered_add(), or NULL. */
+struct cell_run *cell_unanswered_find(struct cell_minion *m, const char *task,
+				      uint64_t run)
+{
+	for (uint32_t i = 0; i < m->unanswered_count; i++) {
+		struct cell_run *r = &m->unanswered[i];
+
+		if (r->run == run && !strcmp(r->task, task))
+			return r;
+	}
+	return NULL;
+}
+
+void cell_unanswered_remove(struct cell_minion *m, struct cell_run *run)
+{
+	*run = m->unanswered[--m->unanswered_count];
+}
+
+/* Forgets the starts that were sent too long ago to take effect. */
+static void expire(struct cell_minion *m, uint64_t now_ms)
+{
+	uint32_t i = 0;
+
+	while (i < m->unanswered_count) {
+		struct cell_run *run = &m->unanswered[i];
+
+		if (now_ms > run->sent_ms + LATE_ORDER_MS)
+			cell_unanswered_remove(m, run);
+		else
+			i++;
+	}
+}
+
+/*
+ * Keeps a run that is removed from its minion, as its start may still arrive
+ * there.
+ */
+void cell_unanswered_add(struct cell_minion *m, const struct cell_run *run,
+			 uint64_t now_ms)
+{
+	expire(m, now_ms);
+	cell_grow((void **)&m->unanswered, &m->unanswered_capacity,
+		  m->unanswered_count, sizeof(*m->unanswered));
+	m->unanswered[m->unanswered_count++] = *run;
+}
+
+void cell_unanswered_free(struct cell_minion *m)
+{
+	free(m->unanswered);
+	m->unanswered = NULL;
+	m->unanswered_count = 0;
+	m->unanswered_capacity = 0;
+}
+
+/* Keeps the task from being started elsewhere if it waits for a start. */
+static void hold_task(struct cell *cell, const struct cell_minion *m,
+		      const struct cell_run *run)
+{
+	struct cell_step *step;
+	struct cell_task *task = cell_task_find(cell, run->task, &step);
+
+	if (!task || task->state != CELL_TASK_READY || task->run != run->run ||
+	    step->job->final_state != CELL_JOB_UNKNOWN)
+		return;
+	task->state = CELL_TASK_ACTIVE;
+	task->minion = m->handle;
+	step->tasks_active++;
+}
+
 /*
  * Handles the first report of another life of the minion: runs that may begin
  * there, and that the report does not show, are stopped. Their tasks are held
@@ -35,6 +110,23 @@
 void cell_unanswered_stop(struct cell *cell, struct cell_minion *m,
 			  uint64_t now_ms)
 {
+	expire(m, now_ms);
+	while (m->unanswered_count) {
+		struct cell_run run = m->unanswered[0];
+		struct cell_step *step;
+		const struct cell_task *task =
+			cell_task_find(cell, run.task, &step);
+		struct cell_run *r;
+
+		cell_unanswered_remove(m, &m->unanswered[0]);
+		if (cell_run_find(m, run.task, run.run) ||
+		    (task && cell_task_ended(task, run.run)))
+			continue;
+		hold_task(cell, m, &run);
+		r = cell_run_add(m, run.task, run.run, NULL, &run.held, now_ms);
+		*r = run;
+		cell_run_void_stops(r);
+	}
 	for (uint32_t i = 0; i < m->run_count; i++) {
 		struct cell_run *run = &m->runs[i];
 		struct cell_step *step;
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -31,6 +31,18 @@
 			     stops.back().task.c_str(), stops.back().run,
 			     result, now);
 	}
+
+	/* The minion of the task does not respond, the other one does. */
+	void silent_ms(int ms)
+	{
+		for (int i = 0; i < ms; i += 100) {
+			tick(100);
+			cell_on_poll_failed(cell, minion, id.c_str(),
+					    CELL_NO_ANSWER, now, now);
+			report(1 - minion, "m" + std::to_string(1 - minion), {},
+			       {});
+		}
+	}
 };
 
 } // namespace
@@ -172,6 +184,69 @@
 	EXPECT_EQ(f.starts.size(), 1U);
 }
 
+TEST(Restart, StartIsStoppedWhenAMinionComesBackAfterItsLease)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	f.tick();
+	f.stopped(CELL_NO_ANSWER);
+	f.silent_ms(7000);
+	EXPECT_EQ(f.settled, std::vector<std::string>{ f.id });
+	f.durable();
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.stops.clear();
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	ASSERT_EQ(f.stops.size(), 1U);
+	EXPECT_EQ(f.stops[0].run, f.starts[0].run);
+	EXPECT_EQ(f.stops[0].minion, f.minion);
+}
+
+TEST(Restart, StartIsStoppedWhenAReplacedMinionComesBack)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(100);
+	cell_on_poll_failed(f.cell, f.minion, f.id.c_str(),
+			    CELL_OTHER_INCARNATION, f.now, f.now);
+	f.tick(1100);
+	f.durable();
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	ASSERT_EQ(f.stops.size(), 1U);
+	EXPECT_EQ(f.stops[0].run, f.starts[0].run);
+}
+
+TEST(Restart, StartThatNeverBeganIsStoppedInTheNextLifeToo)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	f.tick();
+	f.stopped(CELL_OK);
+	f.tick(100);
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	ASSERT_EQ(f.starts.size(), 2U);
+	cell_on_start(f.cell, f.starts[1].minion, "j.0.0.0", f.starts[1].run,
+		      CELL_OK, f.now);
+	f.tick(2000);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	ASSERT_FALSE(f.stops.empty());
+	EXPECT_EQ(f.stops.back().run, f.starts[0].run);
+	EXPECT_EQ(f.stops.size(), 2U);
+}
+
 TEST(Restart, GangDoesNotStartBesideAStartOfAFormerLife)
 {
 	CellFixture f;
