Ignore answers from a former address of a minion

Callers saw a task run twice: a minion was listed at another address while a poll of the former one was open. Another process there answered that it is not this minion, and the holder released the runs of the minion, which went on.

What was sent before the address changed says nothing of the minion where it is now. Such an answer to a poll is ignored, also its lack of a response, and the minion is polled at its new address at once. A start that was rejected at the former address has not taken effect and is released, but does not make the minion fail.

The test of the late answer called the failure at the time at which it was sent; it now gives the time before the change. In that order, answers after a later poll were already ignored, so a second test has the answer arrive before that from the new address. It and the test of the start failed before.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -162,6 +162,7 @@
 	uint32_t incarnation; /* counts incarnations in this slot */
 	bool used;
 	bool listed;
+	uint64_t addr_ms;     /* when its address changed, 0: never */
 	uint64_t unlisted_ms; /* when the platform stopped listing it */
 	bool enrolled;	      /* the record is durable: orders may be sent */
 	bool enrolling;	      /* the record is not durable yet */
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -381,6 +381,29 @@
 	cell->dirty = true;
 }
 
+/*
+ * Handles that a minion is at another address: what was sent to the former one
+ * says nothing of it.
+ */
+static void minion_moved(struct cell_minion *m, uint64_t now_ms)
+{
+	m->addr_ms = now_ms;
+	m->poll_now = true;
+	for (uint32_t i = 0; i < CELL_POLLS_MAX; i++)
+		m->polls[i].overdue = m->polls[i].open;
+}
+
+/*
+ * Returns true if the lack of a response to a call that was sent at @sent_ms
+ * says nothing of the minion: a later poll was answered, or its address has
+ * changed.
+ */
+static bool call_is_outdated(const struct cell_minion *m, uint64_t sent_ms)
+{
+	return sent_ms < m->report_sent_ms ||
+	       (m->addr_ms && sent_ms <= m->addr_ms);
+}
+
 static void minion_update_info(struct cell *cell, struct cell_minion *m,
 			       const struct cell_minion_info *info,
 			       uint64_t now_ms)
@@ -394,6 +417,8 @@
 		m->drain_ms = 0;
 	else if (!m->drain_ms)
 		m->drain_ms = now_ms;
+	if (m->info.addr[0] && strcmp(m->info.addr, info->addr) != 0)
+		minion_moved(m, now_ms);
 	m->info = *info;
 	m->listed = true;
 }
@@ -853,8 +878,8 @@
 		return;
 	poll = cell_poll_close(m, sent_ms);
 	cell->minions_due = true;
-	/* It has responded since, or the lack of a response is known. */
-	if (sent_ms < m->report_sent_ms ||
+	/* The lack of a response to an overdue poll is known. */
+	if (call_is_outdated(m, sent_ms) ||
 	    (poll.overdue && result != CELL_OTHER_INCARNATION))
 		return;
 	if (result == CELL_OTHER_INCARNATION) {
@@ -936,7 +961,9 @@
 					       .run = run,
 					       .value = (uint64_t)result });
 	if (result != CELL_NO_ANSWER) {
-		if (result == CELL_NOT_SENT || result == CELL_OTHER_INCARNATION)
+		if ((result == CELL_NOT_SENT ||
+		     result == CELL_OTHER_INCARNATION) &&
+		    !call_is_outdated(m, r->sent_ms))
 			set_failing(m, true, now_ms);
 		handle_start_rejected(cell, m, r, result, now_ms);
 		return;
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "cell_fixture.h"
 
 namespace
@@ -32,6 +34,20 @@
 			     result, now);
 	}
 
+	/* Both minions are listed at other addresses. */
+	void move()
+	{
+		struct cell_minion_info infos[2];
+
+		for (int i = 0; i < 2; i++) {
+			infos[i] = CellFixture::minion("m" + std::to_string(i),
+						       8000);
+			snprintf(infos[i].addr, sizeof(infos[i].addr),
+				 "10.0.0.2:%d", 80 + i);
+		}
+		cell_set_minions(cell, infos, 2, now);
+	}
+
 	/* The minion of the task does not respond, the other one does. */
 	void silent_ms(int ms)
 	{
@@ -277,23 +293,60 @@
 TEST(Restart, LateAnswerFromAFormerAddressDoesNotReleaseRuns)
 {
 	StartedTask f;
-	struct cell_minion_info infos[2];
+	uint64_t sent_ms = f.now;
 
 	ASSERT_EQ(f.starts.size(), 1U);
 	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
 		      f.now);
-	for (int i = 0; i < 2; i++) {
-		infos[i] = CellFixture::minion("m" + std::to_string(i), 8000);
-		snprintf(infos[i].addr, sizeof(infos[i].addr), "10.0.0.2:%d",
-			 80 + i);
-	}
-	cell_set_minions(f.cell, infos, 2, f.now);
+	f.tick(100);
+	f.move();
+	f.tick(100);
 	f.report(f.minion, f.id, { { "j.0.0.0", f.starts[0].run, "" } }, {});
 	cell_on_poll_failed(f.cell, f.minion, f.id.c_str(),
-			    CELL_OTHER_INCARNATION, f.now, f.now);
+			    CELL_OTHER_INCARNATION, sent_ms, f.now);
+	f.durable();
+	f.tick(100);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
+
+TEST(Restart, AnswerFromAFormerAddressBeforeThatFromTheNextDoesNotReleaseRuns)
+{
+	StartedTask f;
+	uint64_t sent_ms = f.now;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
+		      f.now);
+	f.tick(100);
+	f.polls.clear();
+	f.move();
+	f.tick(100);
+	EXPECT_EQ(std::count(f.polls.begin(), f.polls.end(), f.minion), 1);
+	cell_on_poll_failed(f.cell, f.minion, f.id.c_str(),
+			    CELL_OTHER_INCARNATION, sent_ms, f.now);
+	f.report(f.minion, f.id, { { "j.0.0.0", f.starts[0].run, "" } }, {});
 	f.durable();
 	f.tick(100);
 	f.durable();
 	f.tick(100);
 	EXPECT_EQ(f.starts.size(), 1U);
 }
+
+TEST(Restart, StartRejectedAtAFormerAddressDoesNotMakeAMinionFail)
+{
+	StartedTask f;
+	struct cell_stats stats;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(100);
+	f.move();
+	f.tick(100);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_OTHER_INCARNATION, f.now);
+	cell_get_stats(f.cell, &stats);
+	EXPECT_EQ(stats.failing, 0U);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
