--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -3,6 +3,7 @@
 #define JAYSPOKE_CELL_INT_H
 
 #include "cell/cell.h"
+#include "rtt.h"
 
 #include <uthash.h>
 
@@ -300,11 +301,9 @@
 	double accepted;
 };
 
-/* Response times of the minions of an availability zone, in ms. */
 struct cell_zone {
 	char name[CELL_NAME_MAX];
-	double response_ms;  /* mean */
-	double deviation_ms; /* mean deviation from that */
+	struct rtt rtt; /* of the minions of the availability zone */
 };
 
 struct cell {
@@ -430,6 +429,7 @@
 void cell_response_missed(struct cell *cell, const struct cell_minion *m,
 			  uint64_t timeout_ms);
 uint32_t cell_order_timeout_ms(struct cell *cell, const struct cell_minion *m);
+uint32_t cell_longest_order_timeout_ms(const struct cell *cell);
 bool cell_poll_is_open(const struct cell_minion *m);
 void cell_poll_if_due(struct cell *cell, struct cell_minion *m,
 		      uint64_t now_ms);
