Acknowledge the ends of a minion once, not with each poll

Callers saw a task run again after its end: a minion restarted under the same id, carried out starts that were sent to its former life, and ended one of them. A poll that the holder had sent before it knew of the restart acknowledged the ends of the former life. The numbers of ends begin anew in each life, so the new life discarded the end of the run; the holder found neither the run nor an end and started the task again.

Each poll carried the highest durable number. It is now sent once per report that lists ends: if it is lost, the next report lists them again.

The test failed before.

--- a/lib/cell/poll.c
+++ b/lib/cell/poll.c
@@ -145,7 +145,11 @@
 		m->poll_now = false;
 		return true;
 	}
-	out->observed = m->last_end_durable;
+	/* Sent once: another life has other ends of these numbers. */
+	if (m->ends_listed)
+		out->observed = m->last_end_durable;
+	if (m->last_end_durable == m->last_end_handled)
+		m->ends_listed = false;
 	if (m->last_end_durable == m->last_end_handled && !m->poll_now)
 		out->wait_ms = cell_minion_poll_wait_ms(cell, m);
 	out->timeout_ms = out->wait_ms + POLL_TIMEOUT_MS;
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -350,3 +350,29 @@
 	f.tick(100);
 	EXPECT_EQ(f.starts.size(), 2U);
 }
+
+TEST(Restart, AcknowledgementOfEndsIsNotRepeatedForAnotherLife)
+{
+	StartedTask f;
+	std::vector<End> ends;
+	struct cell_poll poll;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	ends.push_back({ 1, "j.0.0.0", f.starts[0].run, CELL_END_FAILED, "" });
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
+		      f.now);
+	f.tick(100);
+	f.report(f.minion, f.id, {}, ends);
+	f.durable();
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
+	EXPECT_EQ(poll.observed, 1U);
+	f.tick(100);
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
+	EXPECT_EQ(poll.observed, 0U);
+	f.report(f.minion, f.id, {}, ends, 50);
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
+	EXPECT_EQ(poll.observed, 1U);
+	f.report(f.minion, f.id, {}, {});
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
+	EXPECT_EQ(poll.observed, 0U);
+}
