Let no daemon claim that a holder without the store does not know

Two holders order minions at once.

Cause: a holder without the store is valid while all daemons that it knows acknowledge its term. A daemon that never connected, or that was lost 10 s before, is not among them, and could claim at any time.

Mend: a claim is under the condition of the list of daemons, which has to name the claimant. One that is not named enters itself, with a mark, and claims 62.5 s later; a holder acts on acknowledgements for 60 s after the store last confirmed the list that it knows, and counts all that the list names, or may name while a write of it has no answer. So a claimant is counted, or the holder has stopped. Takeovers by listed daemons are as quick as before; 60 s are longer than the outages that are expected. How long a lost daemon stays in the list no longer matters to safety, so 10 s stay.

Evidence: on the code before, 5 of the 6 new tests of links_test fail: the holder is valid 1.5 s after the claim of a daemon that never connected, that was removed from the list, or that restarts, 2 s after one that a write without an answer had listed was forgotten, and a claim does not depend on the list. The tests of Term that depend on acknowledgements have a confirmed list as of the latest call to the store.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -151,6 +151,7 @@
 bool links_alone(const struct links *links);
 uint64_t links_acknowledged_ms(const struct links *links, uint64_t term);
 void links_expect(struct links *links, const char *former, const char *names);
+void links_set_listed(struct links *links, const char *names, bool replaces);
 struct buf links_daemons(const struct links *links, uint64_t store_ms);
 void links_report_lanes(struct links *links);
 void links_broadcast_holder(struct links *links, uint64_t term,
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -49,6 +49,8 @@
 	struct link *link;	 /* NULL: the slot is free */
 	char name[MSG_NAME_MAX]; /* latest daemon in the slot */
 	uint64_t lost_ms;	 /* when its connection was lost */
+	bool listed;	 /* the list of daemons in the store may name it */
+	bool was_listed; /* before the present list */
 	uint32_t generation;
 	uint64_t term;	  /* latest term known to it */
 	uint64_t echo_ms; /* latest state frame that it has acknowledged */
@@ -74,7 +76,8 @@
 	uint32_t follower_count; /* slots in use or used before */
 	/* The holder before this daemon, if it has not connected; or empty. */
 	char former_addr[CELL_ADDR_MAX];
-	uint64_t expected_ms; /* since when */
+	uint64_t expected_ms;	  /* since when */
+	bool listed_without_slot; /* the list names more daemons than slots */
 	struct timer tick;
 };
 
@@ -576,17 +579,26 @@
 	return n;
 }
 
+/* Returns true if the daemon of a slot is known and not connected. */
+static bool is_missing(const struct follower *f, uint64_t at_ms)
+{
+	return is_lost(f, at_ms) || (f->listed && !f->link);
+}
+
 /*
  * Returns the number of known daemons that are not connected. One that was lost
  * long before @store_ms, when the store last confirmed the term, is considered
- * removed; without the store, none is.
+ * removed once the list in the store no longer names it.
  */
 uint32_t links_missing(const struct links *l, uint64_t store_ms)
 {
 	bool former = l->former_addr[0] &&
 		      store_ms < l->expected_ms + LOST_FOLLOWER_MS;
+	uint32_t n = former + l->listed_without_slot;
 
-	return links_lost_followers(l, store_ms) + former;
+	for (uint32_t i = 0; i < l->follower_count; i++)
+		n += is_missing(&l->followers[i], store_ms);
+	return n;
 }
 
 /* Returns true if no other daemon has ever connected or been the holder. */
@@ -619,7 +631,7 @@
 
 /*
  * Returns the slot of the daemon @name, else a free one, which may be behind
- * the last, or FOLLOWERS_MAX. @at_ms as in is_lost().
+ * the last, or FOLLOWERS_MAX. @at_ms as in is_missing().
  */
 static uint32_t slot_for(const struct links *l, const char *name,
 			 uint64_t at_ms)
@@ -629,24 +641,61 @@
 			return i;
 	}
 	for (uint32_t i = 0; i < l->follower_count; i++) {
-		if (!l->followers[i].link && !is_lost(&l->followers[i], at_ms))
+		if (!l->followers[i].link &&
+		    !is_missing(&l->followers[i], at_ms))
 			return i;
 	}
 	return l->follower_count;
 }
 
-/* Counts a daemon as lost from now on, unless it is connected. */
-static void expect_daemon(struct links *l, const char *name, uint64_t now)
+/*
+ * Counts a daemon as listed, and as lost from now on if it is new in the list
+ * and not connected.
+ */
+static void list_daemon(struct links *l, const char *name, uint64_t now)
 {
 	uint32_t i = slot_for(l, name, now);
+	struct follower *f = &l->followers[i];
 
-	if (i == FOLLOWERS_MAX || l->followers[i].link)
+	if (i == FOLLOWERS_MAX) {
+		l->listed_without_slot = true;
 		return;
+	}
 	if (i == l->follower_count)
 		l->follower_count++;
-	snprintf(l->followers[i].name, sizeof(l->followers[i].name), "%s",
-		 name);
-	l->followers[i].lost_ms = now;
+	if (!f->link && !f->was_listed && !f->listed) {
+		snprintf(f->name, sizeof(f->name), "%s", name);
+		f->lost_ms = now;
+	}
+	f->listed = true;
+}
+
+/*
+ * The list of daemons in the store may name @names, as links_daemons() returns
+ * them, some with TERM_ENTRY_MARK. It names no others if @replaces.
+ */
+void links_set_listed(struct links *l, const char *names, bool replaces)
+{
+	const size_t mark = strlen(TERM_ENTRY_MARK);
+	uint64_t now = loop_now_ms();
+	struct buf copy = buf_str(names);
+	char *save = NULL;
+	char *name = copy.len ? strtok_r(copy.data, " ", &save) : NULL;
+
+	for (uint32_t i = 0; replaces && i < l->follower_count; i++) {
+		l->followers[i].was_listed = l->followers[i].listed;
+		l->followers[i].listed = false;
+	}
+	l->listed_without_slot = l->listed_without_slot && !replaces;
+	for (; name; name = strtok_r(NULL, " ", &save)) {
+		if (!strncmp(name, TERM_ENTRY_MARK, mark))
+			name += mark;
+		if (name[0] && strcmp(name, l->d->conf.name) != 0)
+			list_daemon(l, name, now);
+	}
+	for (uint32_t i = 0; i < l->follower_count; i++)
+		l->followers[i].was_listed = false;
+	buf_free(&copy);
 }
 
 static bool is_connected(const struct links *l, const char *addr)
@@ -666,20 +715,13 @@
  */
 void links_expect(struct links *l, const char *former, const char *names)
 {
-	uint64_t now = loop_now_ms();
-	struct buf copy = buf_str(names);
-	char *save = NULL;
-	char *name = copy.len ? strtok_r(copy.data, " ", &save) : NULL;
-
-	for (; name; name = strtok_r(NULL, " ", &save)) {
-		if (strcmp(name, l->d->conf.name) != 0)
-			expect_daemon(l, name, now);
-	}
-	buf_free(&copy);
+	for (uint32_t i = 0; i < l->follower_count; i++)
+		l->followers[i].listed = false;
+	links_set_listed(l, names, true);
 	if (!former[0] || is_connected(l, former))
 		return;
 	snprintf(l->former_addr, sizeof(l->former_addr), "%s", former);
-	l->expected_ms = now;
+	l->expected_ms = loop_now_ms();
 }
 
 /*
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -27,6 +27,10 @@
 #define CONFIRM_INTERVAL_MS 500
 /* Interval at which the holder updates the list of daemons, if it differs. */
 #define DAEMONS_INTERVAL_MS 1000
+/* Interval at which the holder reads the list, if it has not written it. */
+#define DAEMONS_READ_INTERVAL_MS 2000
+/* Interval at which a daemon that is not in the list tries to enter it. */
+#define ENTER_INTERVAL_MS 500
 /* As above, while the scheduler waits for a confirmation. */
 #define CONFIRM_REQUESTED_MS 100
 /* The store is healthy if it served a call within this time. */
@@ -70,9 +74,19 @@
 	uint64_t confirm_sent_ms;
 	uint64_t confirm_after_ms; /* as last requested */
 	bool confirming;
-	struct buf daemons; /* list in the store, as links_daemons() */
+	/* List in the store: as links_daemons(), with entries of others. */
+	struct buf daemons;
+	uint64_t daemons_revision; /* 0: there is no list */
 	struct buf daemons_sent;
+	uint64_t daemons_sent_ms;
 	bool daemons_writing;
+	bool daemons_unsure; /* a write without an answer may take effect */
+	bool daemons_reading;
+	uint64_t daemons_read_ms; /* when the latest read was sent */
+	uint64_t listed_ms;	  /* latest confirmation of the list */
+	bool entering;
+	uint64_t enter_ms;   /* earliest time of the next try */
+	uint64_t entered_ms; /* this daemon saw its own entry, 0: none */
 	uint64_t daemons_ms; /* when it is compared next */
 	uint64_t started_ms; /* of this process */
 	uint64_t lease_id;
@@ -154,6 +168,7 @@
 		.began_ms = t->began_ms,
 		.confirmed_ms = t->confirmed_ms,
 		.store_ms = t->store_ms,
+		.listed_ms = t->listed_ms,
 		.acknowledged_ms = links_acknowledged_ms(links, t->token),
 		.followers = links_followers(links),
 		.missing = links_missing(links, t->store_ms),
@@ -195,10 +210,11 @@
 	valid = term_valid(t->confirmed_ms, now_ms);
 	if (valid != t->valid)
 		ev("term-validity",
-		   "token=%llu valid=%d store_age_ms=%llu "
+		   "token=%llu valid=%d store_age_ms=%llu list_age_ms=%lld "
 		   "acknowledged_age_ms=%lld followers=%u missing=%u alone=%d",
 		   (unsigned long long)t->token, valid,
 		   (unsigned long long)(now_ms - e.store_ms),
+		   e.listed_ms ? (long long)(now_ms - e.listed_ms) : -1,
 		   e.acknowledged_ms ? (long long)(now_ms - e.acknowledged_ms)
 				     : -1,
 		   e.followers, e.missing, e.alone);
@@ -232,6 +248,9 @@
 	t->began_ms = loop_now_ms();
 	t->confirmed_ms = sent_ms;
 	t->store_ms = sent_ms;
+	/* The claim was under the condition of the list, if there is one. */
+	t->listed_ms = t->daemons_revision ? sent_ms : 0;
+	t->daemons_unsure = false;
 	t->lease_id = 0;
 	t->renew_ms = 0;
 	t->claim_due_ms = 0;
@@ -285,10 +304,27 @@
 	rpc_holder_changed(t->d->rpc);
 }
 
-static void set_daemons(struct terms *t, const char *names, size_t len)
+static enum term_listing own_listing(const struct terms *t)
 {
+	return term_listing(t->daemons.data, t->daemons.len, t->d->conf.name);
+}
+
+/* Records the list of daemons in the store, unless a later one is known. */
+static void set_daemons(struct terms *t, const char *names, size_t len,
+			uint64_t revision)
+{
+	if (revision <= t->daemons_revision)
+		return;
 	buf_free(&t->daemons);
 	t->daemons = buf_copy(names, len);
+	t->daemons_revision = revision;
+	t->daemons_unsure = false;
+	if (own_listing(t) != TERM_ENTERED)
+		t->entered_ms = 0;
+	else if (!t->entered_ms)
+		t->entered_ms = loop_now_ms();
+	if (t->token)
+		links_set_listed(t->d->links, t->daemons.data, true);
 }
 
 static void apply_items(struct terms *t, const struct pf_reply *reply)
@@ -301,7 +337,8 @@
 		else if (!strcmp(item->key, CD_LIVE_KEY))
 			t->lease_live = item->value != NULL;
 		else if (!strcmp(item->key, CD_DAEMONS_KEY) && item->value)
-			set_daemons(t, item->value, item->value_len);
+			set_daemons(t, item->value, item->value_len,
+				    item->revision);
 	}
 }
 
@@ -397,7 +434,7 @@
 static void claim(struct terms *t, const char *why, uint64_t now)
 {
 	unsigned char random[8];
-	struct pf_txn txn = { .condition_count = 1, .put_count = 1 };
+	struct pf_txn txn = { .condition_count = 2, .put_count = 1 };
 	struct buf value;
 
 	if (RAND_bytes(random, sizeof(random)) != 1)
@@ -408,6 +445,9 @@
 			t->claim_nonce);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = t->term };
+	txn.conditions[1] =
+		(struct pf_condition){ .key = CD_DAEMONS_KEY,
+				       .revision = t->daemons_revision };
 	txn.puts[0] = (struct pf_put){ .key = CD_HOLDER_KEY,
 				       .value = value.data,
 				       .len = value.len };
@@ -422,6 +462,40 @@
 	buf_free(&value);
 }
 
+static void on_entered(void *ctx, const struct pf_reply *reply)
+{
+	struct terms *t = ctx;
+
+	t->entering = false;
+	if (reply->status == PF_OK)
+		set_daemons(t, t->daemons_sent.data, t->daemons_sent.len,
+			    reply->revision);
+	else if (reply->status == PF_CONFLICT)
+		apply_items(t, reply);
+}
+
+/* Enters this daemon in the list of daemons, from which it is missing. */
+static void enter_list(struct terms *t, uint64_t now)
+{
+	struct pf_txn txn = { .condition_count = 1, .put_count = 1 };
+
+	if (t->entering || t->daemons_writing || now < t->enter_ms)
+		return;
+	t->enter_ms = now + ENTER_INTERVAL_MS;
+	t->entering = true;
+	buf_free(&t->daemons_sent);
+	t->daemons_sent = buf_fmt("%s " TERM_ENTRY_MARK "%s", t->daemons.data,
+				  t->d->conf.name);
+	ev("list-entry", "term=%llu", (unsigned long long)t->term);
+	txn.conditions[0] =
+		(struct pf_condition){ .key = CD_DAEMONS_KEY,
+				       .revision = t->daemons_revision };
+	txn.puts[0] = (struct pf_put){ .key = CD_DAEMONS_KEY,
+				       .value = t->daemons_sent.data,
+				       .len = t->daemons_sent.len };
+	pf_commit(t->d->store, &txn, CALL_TIMEOUT_MS, on_entered, t);
+}
+
 static uint64_t claim_delay(const struct terms *t, uint64_t now)
 {
 	unsigned char random = 0;
@@ -464,8 +538,12 @@
 	}
 	if (!t->claim_due_ms)
 		t->claim_due_ms = now + claim_delay(t, now);
-	if (now >= t->claim_due_ms)
+	if (now < t->claim_due_ms)
+		return;
+	if (term_may_claim(own_listing(t), t->entered_ms, now))
 		claim(t, why, now);
+	else if (own_listing(t) == TERM_UNLISTED)
+		enter_list(t, now);
 }
 
 static void on_confirm(void *ctx, const struct pf_reply *reply)
@@ -540,8 +618,42 @@
 	struct terms *t = ctx;
 
 	t->daemons_writing = false;
-	if (reply->status == PF_OK)
-		set_daemons(t, t->daemons_sent.data, t->daemons_sent.len);
+	if (reply->status == PF_OK) {
+		set_daemons(t, t->daemons_sent.data, t->daemons_sent.len,
+			    reply->revision);
+		if (t->daemons_sent_ms > t->listed_ms)
+			t->listed_ms = t->daemons_sent_ms;
+		return;
+	}
+	t->daemons_unsure = true;
+	if (reply->status == PF_CONFLICT)
+		apply_items(t, reply);
+}
+
+static void on_daemons_read(void *ctx, const struct pf_reply *reply)
+{
+	struct terms *t = ctx;
+
+	t->daemons_reading = false;
+	if (reply->status != PF_OK || !reply->count || !reply->items[0].value)
+		return;
+	apply_items(t, reply);
+	if (reply->items[0].revision == t->daemons_revision &&
+	    t->daemons_read_ms > t->listed_ms)
+		t->listed_ms = t->daemons_read_ms;
+}
+
+/* Reads the list of daemons, so that the store confirms it. */
+static void confirm_daemons(struct terms *t, uint64_t now)
+{
+	if (t->daemons_reading || !t->daemons_revision ||
+	    now < t->listed_ms + DAEMONS_READ_INTERVAL_MS ||
+	    now < t->daemons_read_ms + DAEMONS_READ_INTERVAL_MS)
+		return;
+	t->daemons_reading = true;
+	t->daemons_read_ms = now;
+	pf_get(t->d->store, CD_DAEMONS_KEY, CALL_TIMEOUT_MS, on_daemons_read,
+	       t);
 }
 
 /*
@@ -550,23 +662,28 @@
  */
 static void list_daemons(struct terms *t, uint64_t now)
 {
-	struct pf_txn txn = { .condition_count = 1, .put_count = 1 };
+	struct pf_txn txn = { .condition_count = 2, .put_count = 1 };
 	struct buf names;
 
-	if (t->daemons_writing || now < t->daemons_ms)
+	if (t->daemons_writing || t->entering || now < t->daemons_ms)
 		return;
 	t->daemons_ms = now + DAEMONS_INTERVAL_MS;
 	names = links_daemons(t->d->links, t->store_ms);
-	if (t->daemons.len == names.len &&
+	if (!t->daemons_unsure && t->daemons.len == names.len &&
 	    !memcmp(t->daemons.data, names.data, names.len)) {
 		buf_free(&names);
 		return;
 	}
 	buf_free(&t->daemons_sent);
 	t->daemons_sent = names;
+	t->daemons_sent_ms = now;
 	t->daemons_writing = true;
+	links_set_listed(t->d->links, names.data, false);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = t->token };
+	txn.conditions[1] =
+		(struct pf_condition){ .key = CD_DAEMONS_KEY,
+				       .revision = t->daemons_revision };
 	txn.puts[0] = (struct pf_put){ .key = CD_DAEMONS_KEY,
 				       .value = names.data,
 				       .len = names.len };
@@ -593,6 +710,7 @@
 		}
 	}
 	list_daemons(t, now);
+	confirm_daemons(t, now);
 	if (!t->confirming && is_confirmation_due(t, now)) {
 		t->confirming = true;
 		t->confirm_sent_ms = now;
--- a/lib/cell/term.c
+++ b/lib/cell/term.c
@@ -1,6 +1,6 @@
 #include "cell/term.h"
 
-#include <stddef.h>
+#include <string.h>
 
 /* A holder is alive if its latest message is not older than this, in ms. */
 #define HOLDER_SILENCE_MAX_MS 500
@@ -17,6 +17,13 @@
 #define CONFIRMATION_MAX_AGE_MS 1500
 /* Time in which all daemons connect to a new holder, in ms. */
 #define CONNECT_MS 2000
+/*
+ * A holder acts on acknowledgements alone up to this time after the store last
+ * confirmed the list of daemons, in ms.
+ */
+#define WITHOUT_STORE_MAX_MS 60000
+/* The same time for another daemon; either clock may be off by 2%. */
+#define ENTRY_WAIT_MS (WITHOUT_STORE_MAX_MS * 100 / 96)
 
 /*
  * Returns why this daemon should take over, as a static text for the log, or
@@ -66,19 +73,68 @@
  * learned of a later one. The store shows it by serving a call under the
  * condition of the term that was sent at that time. The followers show it if
  * every known daemon has acknowledged a state frame that was made at that time.
+ * A daemon that is not known may have entered the list since the store last
+ * confirmed it, and waits before it claims, see term_may_claim().
  */
 uint64_t term_confirmed_ms(const struct term_evidence *e, uint64_t now_ms)
 {
+	uint64_t until_ms = e->listed_ms + WITHOUT_STORE_MAX_MS;
 	uint64_t confirmed_ms = e->confirmed_ms;
+	uint64_t others_ms = 0;
 
 	if (e->store_ms > confirmed_ms)
 		confirmed_ms = e->store_ms;
-	if (e->store_ms < e->began_ms + CONNECT_MS)
+	if (!e->listed_ms || e->store_ms < e->began_ms + CONNECT_MS)
 		return confirmed_ms;
-	if (e->followers && !e->missing && e->acknowledged_ms > confirmed_ms)
-		return e->acknowledged_ms;
+	if (e->followers && !e->missing)
+		others_ms = e->acknowledged_ms;
 	/* Another daemon may have started during a pause of this one. */
-	if (e->alone && term_valid(confirmed_ms, now_ms))
-		return now_ms;
-	return confirmed_ms;
+	else if (e->alone && !e->missing && term_valid(confirmed_ms, now_ms))
+		others_ms = now_ms;
+	if (others_ms > until_ms)
+		others_ms = until_ms;
+	return others_ms > confirmed_ms ? others_ms : confirmed_ms;
+}
+
+/*
+ * Returns what the list @names, of @len bytes and separated by spaces, says
+ * about the daemon @name.
+ */
+enum term_listing term_listing(const char *names, size_t len, const char *name)
+{
+	const size_t mark = strlen(TERM_ENTRY_MARK);
+	const size_t name_len = strlen(name);
+	enum term_listing listing = TERM_UNLISTED;
+	size_t at = 0;
+
+	if (!len)
+		return TERM_LISTED;
+	while (at < len) {
+		const char *entry = names + at;
+		const char *space = memchr(entry, ' ', len - at);
+		size_t n = space ? (size_t)(space - entry) : len - at;
+
+		at += n + 1;
+		if (n == name_len && !memcmp(entry, name, n))
+			return TERM_LISTED;
+		if (n == mark + name_len &&
+		    !memcmp(entry, TERM_ENTRY_MARK, mark) &&
+		    !memcmp(entry + mark, name, name_len))
+			listing = TERM_ENTERED;
+	}
+	return listing;
+}
+
+/*
+ * Returns true if a daemon may claim a term under the condition that the list
+ * of daemons is as read. A holder without the store counts the daemons of the
+ * list as it knows it, so one that entered itself at @entered_ms waits until no
+ * holder acts on an earlier list.
+ */
+bool term_may_claim(enum term_listing listing, uint64_t entered_ms,
+		    uint64_t now_ms)
+{
+	if (listing == TERM_ENTERED)
+		return entered_ms && now_ms >= entered_ms + ENTRY_WAIT_MS;
+	return listing == TERM_LISTED;
 }
--- a/lib/cell/term.h
+++ b/lib/cell/term.h
@@ -3,6 +3,7 @@
 #define JAYSPOKE_CELL_TERM_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -29,9 +30,10 @@
 
 /* Evidence of a holder that its term is still valid, on the holder's clock. */
 struct term_evidence {
-	uint64_t began_ms;	  /* when it learned of its term */
-	uint64_t confirmed_ms;	  /* latest confirmation so far */
-	uint64_t store_ms;	  /* latest confirmation by the store */
+	uint64_t began_ms;     /* when it learned of its term */
+	uint64_t confirmed_ms; /* latest confirmation so far */
+	uint64_t store_ms;     /* latest confirmation by the store */
+	uint64_t listed_ms;    /* the store last confirmed the list, 0: never */
 	uint64_t acknowledged_ms; /* by all followers, 0: not by all */
 	uint32_t followers;	  /* connected */
 	uint32_t missing;	  /* known daemons that are not connected */
@@ -41,6 +43,20 @@
 uint64_t term_confirmed_ms(const struct term_evidence *e, uint64_t now_ms);
 bool term_valid(uint64_t confirmed_ms, uint64_t now_ms);
 
+/* What the list of daemons in the store says about one of them. */
+enum term_listing {
+	TERM_UNLISTED,
+	TERM_ENTERED, /* by itself: no holder may know it yet */
+	TERM_LISTED   /* by a holder, or there is no list */
+};
+
+/* Precedes the name of a daemon that has entered itself. */
+#define TERM_ENTRY_MARK "+"
+
+enum term_listing term_listing(const char *names, size_t len, const char *name);
+bool term_may_claim(enum term_listing listing, uint64_t entered_ms,
+		    uint64_t now_ms);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -144,6 +144,7 @@
 	e.began_ms = 5000;
 	e.confirmed_ms = 10000;
 	e.store_ms = 10000;
+	e.listed_ms = 10000;
 	e.acknowledged_ms = followers ? 20000 : 0;
 	e.followers = followers;
 	return e;
@@ -211,6 +212,45 @@
 	}
 }
 
+/* Guards against a successor that entered the list behind an outage. */
+TEST(Term, NoHolderActsOnAnEarlierListOnceADaemonThatEnteredItClaims)
+{
+	struct term_evidence e = followed_term(3);
+	uint64_t entered_ms = e.listed_ms + 1;
+	uint64_t now = entered_ms;
+
+	EXPECT_FALSE(term_may_claim(TERM_UNLISTED, 0, 1000000));
+	EXPECT_FALSE(term_may_claim(TERM_ENTERED, 0, 1000000));
+	EXPECT_TRUE(term_may_claim(TERM_LISTED, 0, now));
+	/* The clock of the holder is 2% slow, the other one 2% fast. */
+	while (!term_may_claim(TERM_ENTERED, entered_ms * 102 / 98,
+			       now * 102 / 98))
+		now += 10;
+	e.acknowledged_ms = now;
+	EXPECT_FALSE(is_valid(e, now + 1500));
+	e.acknowledged_ms = 50000;
+	EXPECT_TRUE(is_valid(e, 50000));
+	e.listed_ms = 0;
+	EXPECT_FALSE(is_valid(e, 50000));
+	e = followed_term(0);
+	e.alone = true;
+	e.confirmed_ms = now;
+	EXPECT_LE(term_confirmed_ms(&e, now + 1), now);
+}
+
+TEST(Term, ListTellsEntriesOfADaemonFromThoseOfAHolder)
+{
+	const std::string names = "d1 d23 +d4";
+
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d1"), TERM_LISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d23"), TERM_LISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d4"), TERM_ENTERED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d2"),
+		  TERM_UNLISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "4"), TERM_UNLISTED);
+	EXPECT_EQ(term_listing("", 0, "d1"), TERM_LISTED);
+}
+
 /* Guards against a single daemon that wakes when another has started. */
 TEST(Term, SingleDaemonThatWakesFromAPauseIsInvalid)
 {
--- a/tests/links_test.cc
+++ b/tests/links_test.cc
@@ -33,10 +33,14 @@
 	std::vector<Call> commits;
 	std::vector<Call> gets;
 	std::string claimed;
-	std::string listed; /* daemons, as last written */
+	uint64_t claim_list; /* list of daemons that the claim depends on */
+	std::string listed;  /* daemons, as last written */
+	bool writes_late;    /* lists without an answer take effect */
 };
 
 struct timespec skew; /* of CLOCK_BOOTTIME */
+std::string stored;   /* list of daemons in the store */
+uint64_t stored_revision;
 struct cell_config config;
 unsigned char secret[CD_SECRET_LEN];
 /* Keeps objects that are never freed reachable, for the leak checker. */
@@ -47,6 +51,31 @@
 	return reinterpret_cast<Daemon *>(store);
 }
 
+void set_stored(const std::string &names)
+{
+	if (names != stored)
+		stored_revision++;
+	stored = names;
+}
+
+/* Answers a call on the list of daemons. */
+void answer_list(enum pf_status status, pf_done done, void *ctx)
+{
+	struct pf_item item = {};
+	struct pf_reply reply = {};
+
+	item.key = CD_DAEMONS_KEY;
+	item.value = stored_revision ? stored.c_str() : nullptr;
+	item.value_len = stored.size();
+	item.revision = stored_revision;
+	reply.status = status;
+	reply.revision = stored_revision;
+	reply.read_revision = stored_revision;
+	reply.count = status == PF_OK || status == PF_CONFLICT;
+	reply.items = &item;
+	done(ctx, &reply);
+}
+
 } // namespace
 
 extern "C" {
@@ -66,10 +95,14 @@
 	return (int)rc;
 }
 
-void pf_get(struct pf_store *store, const char *, uint32_t, pf_done done,
+void pf_get(struct pf_store *store, const char *key, uint32_t, pf_done done,
 	    void *ctx)
 {
-	of(store)->gets.push_back({ done, ctx });
+	if (strcmp(key, CD_DAEMONS_KEY) != 0)
+		of(store)->gets.push_back({ done, ctx });
+	else
+		answer_list(of(store)->store_serves ? PF_OK : PF_UNKNOWN, done,
+			    ctx);
 }
 
 void pf_range(struct pf_store *store, const char *, const char *, uint32_t,
@@ -88,16 +121,28 @@
 {
 	std::string value(static_cast<const char *>(txn->puts[0].value),
 			  txn->puts[0].len);
-	struct pf_reply reply = {};
+	enum pf_status status = PF_OK;
 
 	if (!strcmp(txn->puts[0].key, CD_DAEMONS_KEY)) {
-		reply.status = of(store)->store_serves ? PF_OK : PF_UNKNOWN;
-		if (of(store)->store_serves)
+		for (uint32_t i = 0; i < txn->condition_count; i++) {
+			if (!strcmp(txn->conditions[i].key, CD_DAEMONS_KEY) &&
+			    txn->conditions[i].revision != stored_revision)
+				status = PF_CONFLICT;
+		}
+		if (!of(store)->store_serves)
+			status = PF_UNKNOWN;
+		if (status == PF_OK || of(store)->writes_late) {
 			of(store)->listed = value;
-		done(ctx, &reply);
+			set_stored(value);
+		}
+		answer_list(status, done, ctx);
 		return;
 	}
 	of(store)->claimed = value;
+	for (uint32_t i = 0; i < txn->condition_count; i++) {
+		if (!strcmp(txn->conditions[i].key, CD_DAEMONS_KEY))
+			of(store)->claim_list = txn->conditions[i].revision;
+	}
 	of(store)->commits.push_back({ done, ctx });
 }
 
@@ -201,6 +246,8 @@
 	struct pf_item items[2] = {};
 	struct pf_reply reply = {};
 
+	if (!daemons.empty())
+		set_stored(daemons);
 	items[0].key = CD_HOLDER_KEY;
 	items[0].value = value.c_str();
 	items[0].value_len = value.size();
@@ -208,7 +255,7 @@
 	items[1].key = CD_DAEMONS_KEY;
 	items[1].value = daemons.c_str();
 	items[1].value_len = daemons.size();
-	items[1].revision = revision;
+	items[1].revision = stored_revision;
 	reply.status = status;
 	reply.revision = revision;
 	reply.read_revision = revision;
@@ -244,6 +291,12 @@
 struct Cell {
 	std::vector<Daemon *> daemons;
 
+	Cell()
+	{
+		stored.clear();
+		stored_revision = 0;
+	}
+
 	Daemon *add(const char *name)
 	{
 		Daemon *x = new Daemon();
@@ -539,3 +592,141 @@
 	c.run(62000);
 	EXPECT_EQ(c.holder->listed, "d1 d2");
 }
+
+namespace
+{
+
+/* A holder without the store, and a daemon that reaches the store alone. */
+struct CutOffCell : CellOfThree {
+	Daemon *fourth = add("d4");
+
+	/* The daemon, which cannot reach the holder, starts. */
+	void start_fourth()
+	{
+		answer(&fourth->ranges, TERM, "d1 127.0.0.1:1 nonce", PF_OK,
+		       stored);
+	}
+
+	/* A successor waits for longer than this. */
+	bool stops()
+	{
+		run(1500);
+		return !valid();
+	}
+
+	/* Returns the time until the daemon claims the term. */
+	uint32_t run_until_it_claims()
+	{
+		uint32_t ms = 0;
+
+		while (fourth->commits.empty() && ms < 100000) {
+			run(50);
+			ms += 50;
+		}
+		return ms;
+	}
+};
+
+} // namespace
+
+/* Guards against a successor that the holder has never known. */
+TEST(Links, DaemonThatNeverConnectedClaimsOnceTheHolderHasStopped)
+{
+	CutOffCell c;
+
+	c.store_down();
+	c.fourth->store_serves = true;
+	c.start_fourth();
+	c.run_until_it_claims();
+	ASSERT_EQ(c.fourth->commits.size(), 1U);
+	EXPECT_TRUE(c.stops());
+}
+
+/* Guards against a successor that was lost a while before an outage. */
+TEST(Links, DaemonThatWasRemovedClaimsOnceTheHolderHasStopped)
+{
+	CutOffCell c;
+
+	c.follow(c.fourth, c.holder);
+	c.run(2000);
+	ASSERT_EQ(stored, "d1 d2 d3 d4");
+	c.fourth->running = false;
+	c.run(14000);
+	ASSERT_EQ(stored, "d1 d2 d3");
+	c.store_down();
+	c.fourth = c.add("d4");
+	c.start_fourth();
+	c.run_until_it_claims();
+	ASSERT_EQ(c.fourth->commits.size(), 1U);
+	EXPECT_TRUE(c.stops());
+}
+
+/* Guards against an entry that a restarted daemon takes for a holder's. */
+TEST(Links, EntryOfItsOwnDoesNotLetARestartedDaemonClaim)
+{
+	CutOffCell c;
+
+	c.store_down();
+	c.fourth->store_serves = true;
+	c.start_fourth();
+	c.run(10000);
+	c.fourth->running = false;
+	c.fourth = c.add("d4");
+	c.start_fourth();
+	c.run_until_it_claims();
+	ASSERT_EQ(c.fourth->commits.size(), 1U);
+	EXPECT_TRUE(c.stops());
+}
+
+/* Guards against a takeover that waits though the holder knows the daemon. */
+TEST(Links, ListedDaemonClaimsAtOnce)
+{
+	CutOffCell c;
+
+	c.follow(c.fourth, c.holder);
+	c.run(2000);
+	c.fourth->running = false;
+	c.store_down();
+	c.fourth = c.add("d4");
+	c.start_fourth();
+	EXPECT_LE(c.run_until_it_claims(), 5500U);
+	EXPECT_EQ(c.fourth->claim_list, stored_revision);
+	EXPECT_TRUE(c.stops());
+}
+
+/* Guards against a holder that goes on without a daemon that may be listed. */
+TEST(Links, DaemonOfAListWithoutAnAnswerIsKnown)
+{
+	CutOffCell c;
+
+	c.holder->store_serves = false;
+	c.holder->writes_late = true;
+	c.follow(c.fourth, c.holder);
+	c.run(2000);
+	ASSERT_EQ(stored, "d1 d2 d3 d4");
+	c.holder->writes_late = false;
+	c.fourth->running = false;
+	c.run(4000);
+	ASSERT_EQ(links_followers(c.holder->d.links), 2U);
+	c.run(14000);
+	terms_on_confirmed(c.holder->d.terms, loop_now_ms());
+	c.run(2000);
+	EXPECT_FALSE(c.valid());
+}
+
+/* Guards against work that ends as a daemon that has left is still counted. */
+TEST(Links, DaemonThatTheListNoLongerNamesIsNotMissing)
+{
+	CutOffCell c;
+
+	c.follow(c.fourth, c.holder);
+	c.run(2000);
+	c.fourth->running = false;
+	c.run(4000);
+	EXPECT_EQ(links_missing(c.holder->d.links, loop_now_ms()), 1U);
+	c.run(10000);
+	EXPECT_EQ(links_missing(c.holder->d.links, loop_now_ms()), 0U);
+	c.store_down();
+	c.run(20000);
+	EXPECT_TRUE(c.valid());
+}
--- a/tests/terms_test.cc
+++ b/tests/terms_test.cc
@@ -164,6 +164,10 @@
 {
 }
 
+void links_set_listed(struct links *, const char *, bool)
+{
+}
+
 struct buf links_daemons(const struct links *, uint64_t)
 {
 	return buf_str("d1");
