Test a term that lapses and is valid again on acknowledgements

A term is valid until 1.5 s after a clock that every known daemon has returned, each on its present connection and with the latest term that it knew then; a successor counts from when it learned of its claim, which is later than that clock. Whether the term had lapsed between makes no difference. The state of a slot is cleared with each connection, a follower that claims reports its term, one that restarts counts from its first return, and a daemon without a slot counts as missing.

The tests that were missing for it: a slow follower, a follower that restarts and claims, or learns of a later term, and a slot that another daemon takes pass on the code before as well.

--- a/tests/links_test.cc
+++ b/tests/links_test.cc
@@ -730,3 +730,109 @@
 	c.run(20000);
 	EXPECT_TRUE(c.valid());
 }
+
+/* Guards against a term that lapses for good with a follower that is slow. */
+TEST(Links, LapsedTermIsValidAgainOnLaterAcknowledgements)
+{
+	CellOfThree c;
+	uint64_t lapsed_ms;
+
+	c.store_down();
+	c.third->running = false;
+	c.run(1700);
+	ASSERT_EQ(links_followers(c.holder->d.links), 2U);
+	ASSERT_FALSE(c.valid());
+	lapsed_ms = loop_now_ms();
+	c.third->running = true;
+	for (int i = 0; i < 100 && !c.valid(); i++)
+		c.run(10);
+	EXPECT_TRUE(c.valid());
+	EXPECT_GE(terms_confirmed_ms(c.holder->d.terms) + 150, lapsed_ms);
+}
+
+/* Guards against a term that is valid again beside that of a follower. */
+TEST(Links, LapsedTermStaysInvalidBesideTheTermOfARestartedFollower)
+{
+	CellOfThree c;
+	Daemon *again;
+
+	c.store_down();
+	c.third->running = false;
+	again = c.add("d3");
+	answer(&again->ranges, TERM, "d1 127.0.0.1:1 nonce", PF_OK, stored);
+	c.run_until_claim(again);
+	ASSERT_EQ(again->commits.size(), 1U);
+	answer(&again->commits, TERM + 1, "");
+	ASSERT_EQ(terms_token(again->d.terms), TERM + 1U);
+	c.run(1500);
+	for (int i = 0; i < 100; i++) {
+		EXPECT_FALSE(c.valid());
+		c.run(100);
+	}
+}
+
+/* Guards against a claim without an answer that the next process finds. */
+TEST(Links, RestartedFollowerThatLearnsOfALaterTermEndsTheValidity)
+{
+	CellOfThree c;
+	Daemon *again;
+
+	c.store_down();
+	c.third->running = false;
+	c.run(3000);
+	ASSERT_FALSE(c.valid());
+	again = c.add("d3");
+	again->store_serves = false;
+	c.follow(again, c.holder);
+	c.run(1000);
+	EXPECT_TRUE(c.valid());
+	terms_on_new_holder(again->d.terms, TERM + 1, "127.0.0.1:1");
+	c.run(1500);
+	for (int i = 0; i < 100; i++) {
+		EXPECT_FALSE(c.valid());
+		c.run(100);
+	}
+}
+
+/* Guards against an acknowledgement that a connection did not give. */
+TEST(Links, NewConnectionAcknowledgesNothingOfTheOneBefore)
+{
+	CellOfThree c;
+	uint64_t now;
+
+	c.third->running = false;
+	c.run(14000);
+	ASSERT_EQ(stored, "d1 d2");
+	ASSERT_EQ(links_followers(c.holder->d.links), 1U);
+	for (const char *name : { "d2", "d5" }) {
+		Daemon *again = c.add(name);
+
+		now = loop_now_ms();
+		answer(&again->ranges, TERM, c.holder->claimed);
+		for (int i = 0; i < 100; i++) {
+			uint64_t ms;
+
+			c.run(10);
+			ms = links_acknowledged_ms(c.holder->d.links, TERM);
+			if (!links_holder_up(again->d.links))
+				continue;
+			EXPECT_TRUE(!ms || ms >= now) << name << " " << i;
+		}
+		EXPECT_GT(links_acknowledged_ms(c.holder->d.links, TERM), now);
+		c.second->running = false;
+	}
+}
+
+/* Guards against daemons of the list that do not count for want of a slot. */
+TEST(Links, ListedDaemonsBeyondTheSlotsCount)
+{
+	Cell c;
+	Daemon *holder = c.add("d1");
+	std::string names = "d1";
+
+	for (int i = 0; i < 600; i++)
+		names += " e" + std::to_string(i);
+	c.lead(holder, "d0 127.0.0.1:1 nonce", names);
+	ASSERT_EQ(terms_token(holder->d.terms), (uint64_t)TERM);
+	EXPECT_GT(links_missing(holder->d.links, UINT64_MAX - 20000), 512U);
+}
