Wait for the longest lease that earlier terms may have granted

What callers saw: nothing yet; by reading. A successor with a lower lease_ms than the holder before starts tasks that still run on minions it cannot reach.

Cause: the wait followed the own lease_ms. A reload lowers it at one daemon after the other, and a term keeps the one that it began with.

Mend: each claim states its lease, which holds for the term, and the longest lease that earlier terms may have left. The successor waits for the longer one; that of terms before the last is dropped only after none can be left, also of a holder that acted without the store. For a holder that states none hold_max_ms counts, to which a minion shortens each lease.

Evidence: on the code before, Terms.ClaimStatesTheLeasesOfEarlierTerms fails, as a claim states no lease; it passes now, with the other tests of terms_test, holder_test, links_test and cell_test, and process tests 41, 48 and 49.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -173,6 +173,7 @@
 uint64_t terms_confirmed_ms(const struct terms *terms);
 void terms_want_confirmation(struct terms *terms, uint64_t after_ms);
 uint64_t terms_token(const struct terms *terms);
+struct term_leases terms_leases(const struct terms *terms);
 uint64_t terms_latest(const struct terms *terms);
 
 /* overload.c: waiting times of overloaded queues */
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -23,11 +23,6 @@
 #define JOBS_POLL_FAST_MS 150
 /* A poll returns at once: it is a watch with the shortest wait. */
 #define JOBS_WATCH_WAIT_MS 1
-/*
- * A former holder sends no commands later than this after the claim that ended
- * its term: it must confirm its term every 1.5 s.
- */
-#define PREDECESSOR_VALID_MS 1700
 
 static void read_page(struct holder *h);
 
@@ -364,13 +359,13 @@
 struct holder *holder_new(struct celld *d, uint64_t token)
 {
 	struct holder *h = xcalloc(1, sizeof(*h));
+	struct term_leases leases = terms_leases(d->terms);
 	struct cell_settings settings = {
 		.token = token,
-		.lease_ms = d->conf.lease_ms,
+		.lease_ms = leases.own_ms,
 		.poll_wait_ms = POLL_WAIT_MS,
-		/* Minion clocks may run slow by 2%. */
 		.predecessor_lease_ms =
-			PREDECESSOR_VALID_MS + d->conf.lease_ms * 100 / 98,
+			(uint32_t)term_predecessor_wait_ms(leases.earlier_ms),
 		.ended_job_ttl_ms = d->conf.status_s * 1000,
 	};
 
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -57,12 +57,14 @@
 	uint64_t term;	  /* latest known, 0: none */
 	uint64_t term_ms; /* when it became known */
 	char holder[CELL_NAME_MAX];
-	char addr[CELL_ADDR_MAX]; /* of the holder */
-	char nonce[24];		  /* in the value of the holder key */
+	char addr[CELL_ADDR_MAX];      /* of the holder */
+	char nonce[24];		       /* in the value of the holder key */
+	struct term_leases key_leases; /* likewise */
 	bool lease_live;      /* the key under the lease of the holder exists */
 	bool released;	      /* the holder announced the end of its term */
 	char claim_nonce[24]; /* of the latest claim */
-	char former[CELL_ADDR_MAX]; /* other holder before it, or empty */
+	struct term_leases claim_leases; /* likewise */
+	char former[CELL_ADDR_MAX];	 /* other holder before it, or empty */
 	bool claiming;
 	uint64_t claim_due_ms; /* 0: none is due */
 	uint64_t claim_sent_ms;
@@ -107,6 +109,12 @@
 	return t->token;
 }
 
+/* Returns the leases of this daemon's term, and those of earlier terms. */
+struct term_leases terms_leases(const struct terms *t)
+{
+	return t->claim_leases;
+}
+
 /* Returns the latest known term, 0: none. */
 uint64_t terms_latest(const struct terms *t)
 {
@@ -222,28 +230,42 @@
 	return valid;
 }
 
+/* Returns what may be granted by a holder that states no leases. */
+static struct term_leases unstated_leases(const struct terms *t)
+{
+	return (struct term_leases){ .own_ms = t->d->conf.hold_max_ms,
+				     .earlier_ms = t->d->conf.hold_max_ms };
+}
+
 static void parse_holder(struct terms *t, const struct pf_item *item)
 {
 	char copy[VALUE_MAX];
-	char *fields[3] = { NULL };
+	char *fields[5] = { NULL };
 	char *save = NULL;
 
+	t->key_leases = unstated_leases(t);
 	if (!item->value || item->value_len >= sizeof(copy))
 		return;
 	memcpy(copy, item->value, item->value_len + 1);
 	fields[0] = strtok_r(copy, " ", &save);
-	fields[1] = strtok_r(NULL, " ", &save);
-	fields[2] = strtok_r(NULL, " ", &save);
+	for (uint32_t i = 1; i < 5; i++)
+		fields[i] = strtok_r(NULL, " ", &save);
 	if (!fields[2])
 		return;
 	snprintf(t->holder, sizeof(t->holder), "%s", fields[0]);
 	snprintf(t->addr, sizeof(t->addr), "%s", fields[1]);
 	snprintf(t->nonce, sizeof(t->nonce), "%s", fields[2]);
+	if (fields[4])
+		t->key_leases = (struct term_leases){
+			.own_ms = (uint32_t)strtoul(fields[3], NULL, 10),
+			.earlier_ms = (uint32_t)strtoul(fields[4], NULL, 10)
+		};
 }
 
 static void start_term(struct terms *t, uint64_t token, uint64_t sent_ms)
 {
 	t->token = token;
+	t->key_leases = t->claim_leases;
 	t->valid = false;
 	t->began_ms = loop_now_ms();
 	t->confirmed_ms = sent_ms;
@@ -262,6 +284,9 @@
 
 static void apply_holder(struct terms *t, const struct pf_item *item)
 {
+	/* A peer that reports a term does not report its leases. */
+	if (item->revision == t->term && !t->nonce[0])
+		parse_holder(t, item);
 	if (item->revision <= t->term)
 		return;
 	t->term = item->revision;
@@ -293,6 +318,7 @@
 	t->released = false;
 	t->claim_due_ms = 0;
 	t->nonce[0] = '\0';
+	t->key_leases = unstated_leases(t);
 	snprintf(t->holder, sizeof(t->holder), "-");
 	snprintf(t->addr, sizeof(t->addr), "%s", addr);
 	ev("holder", "name=- addr=%s term=%llu from=peer", addr,
@@ -441,8 +467,14 @@
 		return;
 	for (size_t i = 0; i < sizeof(random); i++)
 		snprintf(t->claim_nonce + i * 2, 3, "%02x", random[i]);
-	value = buf_fmt("%s %s %s", t->d->conf.name, t->d->conf.peers_address,
-			t->claim_nonce);
+	t->claim_leases = (struct term_leases){
+		.own_ms = t->d->conf.lease_ms,
+		.earlier_ms =
+			term_earlier_lease_ms(&t->key_leases, now - t->term_ms)
+	};
+	value = buf_fmt("%s %s %s %u %u", t->d->conf.name,
+			t->d->conf.peers_address, t->claim_nonce,
+			t->claim_leases.own_ms, t->claim_leases.earlier_ms);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = t->term };
 	txn.conditions[1] =
--- a/lib/cell/term.c
+++ b/lib/cell/term.c
@@ -15,6 +15,11 @@
 #define REFUSED_TERM_MIN_MS 5000
 /* Maximum age of the latest confirmation of a term, in ms. */
 #define CONFIRMATION_MAX_AGE_MS 1500
+/*
+ * A former holder sends no commands later than this after its successor learned
+ * of its claim, in ms: it must confirm its term every CONFIRMATION_MAX_AGE_MS.
+ */
+#define PREDECESSOR_VALID_MS 1700
 /* Time in which all daemons connect to a new holder, in ms. */
 #define CONNECT_MS 2000
 /*
@@ -138,3 +143,29 @@
 		return entered_ms && now_ms >= entered_ms + ENTRY_WAIT_MS;
 	return listing == TERM_LISTED;
 }
+
+/*
+ * Returns how long a holder waits for leases of up to @lease_ms that earlier
+ * terms may have granted, from when it learned of its claim. The clocks of
+ * minions may run slow by 2%.
+ */
+uint64_t term_predecessor_wait_ms(uint32_t lease_ms)
+{
+	return PREDECESSOR_VALID_MS + (uint64_t)lease_ms * 100 / 98;
+}
+
+/*
+ * Returns the longest lease that may be left when a claim succeeds the term of
+ * @former, which is known since @age_ms. Those of terms before it have ended if
+ * that is long enough, also for a holder that acted without the store.
+ */
+uint32_t term_earlier_lease_ms(const struct term_leases *former,
+			       uint64_t age_ms)
+{
+	uint64_t wait_ms = term_predecessor_wait_ms(former->earlier_ms);
+
+	if (former->earlier_ms > former->own_ms &&
+	    age_ms < ENTRY_WAIT_MS + wait_ms)
+		return former->earlier_ms;
+	return former->own_ms;
+}
--- a/lib/cell/term.h
+++ b/lib/cell/term.h
@@ -50,6 +50,16 @@
 	TERM_LISTED   /* by a holder, or there is no list */
 };
 
+/* Leases that a holder states with its claim, in ms. */
+struct term_leases {
+	uint32_t own_ms;     /* of the runs of its term */
+	uint32_t earlier_ms; /* that earlier terms may have granted */
+};
+
+uint32_t term_earlier_lease_ms(const struct term_leases *former,
+			       uint64_t age_ms);
+uint64_t term_predecessor_wait_ms(uint32_t lease_ms);
+
 /* Precedes the name of a daemon that has entered itself. */
 #define TERM_ENTRY_MARK "+"
 
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -238,6 +238,24 @@
 	EXPECT_LE(term_confirmed_ms(&e, now + 1), now);
 }
 
+/* Guards against a wait that forgets the leases of a term before the last. */
+TEST(Term, LeasesOfEarlierTermsCountUntilTheyHaveEnded)
+{
+	struct term_leases former = {};
+
+	former.own_ms = 2000;
+	former.earlier_ms = 9800;
+	EXPECT_EQ(term_earlier_lease_ms(&former, 1000), 9800U);
+	/* A holder acts for 61.5 s without the store; clocks differ by 4%. */
+	EXPECT_EQ(term_earlier_lease_ms(&former, (61500 + 9800) * 103 / 100),
+		  9800U);
+	EXPECT_EQ(term_earlier_lease_ms(&former, 90000), 2000U);
+	former.own_ms = 9900;
+	EXPECT_EQ(term_earlier_lease_ms(&former, 1000), 9900U);
+	EXPECT_EQ(term_predecessor_wait_ms(9800), 11700U);
+	EXPECT_GT(term_predecessor_wait_ms(86400000), 86400000U);
+}
+
 TEST(Term, ListTellsEntriesOfADaemonFromThoseOfAHolder)
 {
 	const std::string names = "d1 d23 +d4";
--- a/tests/holder_test.cc
+++ b/tests/holder_test.cc
@@ -5,6 +5,7 @@
 
 extern "C" {
 #include "../jaycelld/holder_int.h"
+#include "cell/cell_int.h"
 }
 
 /* Fakes of the store client and of the modules that holder.c calls. */
@@ -19,6 +20,7 @@
 
 std::vector<Call> ranges;
 std::vector<Call> watches;
+struct term_leases leases;
 
 void answer(std::vector<Call> &calls, enum pf_status status, uint64_t revision,
 	    const char *key = nullptr, bool more = false)
@@ -98,6 +100,11 @@
 	return true;
 }
 
+struct term_leases terms_leases(const struct terms *)
+{
+	return leases;
+}
+
 uint64_t terms_confirmed_ms(const struct terms *)
 {
 	return 0;
@@ -156,3 +163,24 @@
 	h->calls_in_flight = 0;
 	holder_free(h);
 }
+
+/* Guards against a lowered lease that ends the wait for longer ones. */
+TEST(Holder, WaitsForTheLeasesOfEarlierTerms)
+{
+	static struct loop *loop = loop_new();
+	struct celld d = {};
+	struct holder *h;
+
+	d.loop = loop;
+	d.conf.lease_ms = 2000;
+	leases.own_ms = 2500;
+	leases.earlier_ms = 9800;
+	h = holder_new(&d, 7);
+	cell_minion_inherit(h->cell, "w1", "10.0.0.1:80");
+	EXPECT_EQ(h->cell->settings.lease_ms, 2500U);
+	EXPECT_EQ(h->cell->minions[0]->lease_until_ms,
+		  h->cell->started_ms + 1700 + 10000);
+	ranges.clear();
+	h->calls_in_flight = 0;
+	holder_free(h);
+}
--- a/tests/terms_test.cc
+++ b/tests/terms_test.cc
@@ -321,3 +321,41 @@
 	terms_tick(terms, now + 300);
 	EXPECT_EQ(commits.size(), 1U);
 }
+
+/* Guards against a lowered lease_ms that shortens the wait of a successor. */
+TEST(Terms, ClaimStatesTheLeasesOfEarlierTerms)
+{
+	static struct celld d;
+	struct terms *terms;
+	uint64_t now;
+
+	d.conf.lease_ms = 2000;
+	d.conf.hold_max_ms = 12000;
+	terms = start_terms(&d, "d3", 1);
+	now = loop_now_ms();
+	/* No holder before: no lease. */
+	terms_tick(terms, now);
+	terms_tick(terms, now + 1000);
+	ASSERT_EQ(commits.size(), 1U);
+	EXPECT_NE(claimed.find(" 2000 0"), std::string::npos) << claimed;
+	/* The claim failed: others held the cell, with longer leases. */
+	for (const char *value :
+	     { "d9 127.0.0.1:9 n 9000 0", "d9 127.0.0.1:9 n 5500 9000",
+	       "d9 127.0.0.1:9 n" }) {
+		std::string earlier =
+			strstr(value, "9000") ? " 9000" : " 12000";
+		static uint64_t revision = 10;
+		struct pf_reply conflict = {};
+
+		conflict.status = PF_CONFLICT;
+		answer(watches.back(), revision++, value);
+		commits[0].done(commits[0].ctx, &conflict);
+		commits.clear();
+		now = loop_now_ms();
+		terms_tick(terms, now + 8000);
+		terms_tick(terms, now + 9000);
+		ASSERT_EQ(commits.size(), 1U) << value;
+		EXPECT_NE(claimed.find(" 2000" + earlier), std::string::npos)
+			<< claimed;
+	}
+}
