--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -150,11 +150,16 @@
 	}
 	for (uint32_t i = 0; h->phase == PHASE_JOURNAL && i < reply->count;
 	     i++) {
-		if (!record_replay_batch(reply->items[i].value,
-					 reply->items[i].value_len, h->cell))
+		if (!journal_follows(&h->replayed, reply->items[i].key)) {
+			ev("journal-gap", "key=%s", reply->items[i].key);
+			journal_track_batch(h, reply->items[i].key);
+		} else if (!record_replay_batch(reply->items[i].value,
+						reply->items[i].value_len,
+						h->cell)) {
 			ev("journal-malformed", "key=%s", reply->items[i].key);
-		else
+		} else {
 			journal_track_batch(h, reply->items[i].key);
+		}
 	}
 	if (!reply->more || !reply->count) {
 		h->phase++;
--- a/jaycelld/holder_int.h
+++ b/jaycelld/holder_int.h
@@ -7,9 +7,8 @@
 /*
  * Journal transactions in flight at a time, enough for one every
  * BATCH_INTERVAL_MS while the store takes 0.2 s to respond. If the holder dies,
- * a later batch may be stored without an earlier one. Such a gap is harmless:
- * the missing records were neither acknowledged to minions nor shown to
- * callers.
+ * a later batch may be stored without an earlier one; journal_follows() finds
+ * such a gap.
  */
 #define BATCHES_IN_FLIGHT_MAX 6
 #define JOURNAL_KEY_MAX 64
@@ -22,6 +21,7 @@
 	struct holder *holder;
 	struct buf bytes;
 	uint32_t number;
+	uint32_t pending; /* batches before it in flight when it was made */
 	uint32_t records;
 	uint64_t last_seq;
 	uint64_t sent_ms; /* 0: to be resent */
@@ -34,6 +34,13 @@
 	struct buf bytes;
 };
 
+/* Keys of one term without a gap, as the journal is read in order. */
+struct journal_run {
+	uint64_t token;
+	uint64_t first; /* number of the first batch */
+	uint64_t next;	/* the number after the last one */
+};
+
 /* A cancel to acknowledge once its record is durable. */
 struct pending_cancel {
 	uint64_t seq;
@@ -76,6 +83,7 @@
 	uint32_t stored_count;
 	uint64_t snapshot_seq;	    /* its last record, 0: no snapshot */
 	uint32_t snapshot_replaces; /* stored batches before it */
+	struct journal_run replayed;
 	struct pending_cancel *cancels;
 	uint32_t cancel_count;
 	struct timer tick;
@@ -101,6 +109,7 @@
 void journal_add(struct holder *h, uint64_t seq,
 		 const struct cell_record *record);
 void journal_track_batch(struct holder *h, const char *key);
+bool journal_follows(struct journal_run *run, const char *key);
 void journal_tick(struct holder *h, uint64_t now_ms);
 void journal_free(struct holder *h);
 
--- a/jaycelld/journal.c
+++ b/jaycelld/journal.c
@@ -70,11 +70,35 @@
 	return false;
 }
 
-static void batch_key(const struct holder *h, uint32_t number,
+static void batch_key(const struct holder *h, const struct batch *b,
 		      char key[JOURNAL_KEY_MAX])
 {
-	snprintf(key, JOURNAL_KEY_MAX, CD_JOURNAL_PREFIX "%020llu/%08u",
-		 (unsigned long long)h->token, number);
+	snprintf(key, JOURNAL_KEY_MAX, CD_JOURNAL_PREFIX "%020llu/%08u-%u",
+		 (unsigned long long)h->token, b->number, b->pending);
+}
+
+/*
+ * Returns true if no batch before that of @key is missing. The key gives the
+ * number of batches before it that were not known to be durable; those before
+ * them may have been replaced by a snapshot. A batch behind a gap was never
+ * durable for its holder, nor anything that it sent since: without it, the
+ * journal is that of a holder that ended a moment earlier.
+ */
+bool journal_follows(struct journal_run *run, const char *key)
+{
+	unsigned long long token = 0;
+	unsigned long long number = 0;
+	unsigned long long pending = 0;
+
+	/* A key of an earlier build ends with the number. */
+	if (sscanf(key, CD_JOURNAL_PREFIX "%llu/%llu-%llu", &token, &number,
+		   &pending) < 2)
+		return true;
+	if (token != run->token || number != run->next)
+		run->first = number;
+	run->token = token;
+	run->next = number + 1;
+	return run->first + pending <= number;
 }
 
 /* Adds a stored batch to those that the next snapshot replaces. */
@@ -132,7 +156,7 @@
 	h->records_in_flight -= b->records;
 	h->batch_first = (h->batch_first + 1) % BATCHES_IN_FLIGHT_MAX;
 	h->batches_in_flight--;
-	batch_key(h, b->number, key);
+	batch_key(h, b, key);
 	journal_track_batch(h, key);
 	buf_free(&b->bytes);
 	*b = (struct batch){ 0 };
@@ -183,7 +207,7 @@
 	char key[JOURNAL_KEY_MAX];
 	struct pf_txn txn = { .condition_count = 2, .put_count = 1 };
 
-	batch_key(h, b->number, key);
+	batch_key(h, b, key);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = h->token };
 	txn.conditions[1] = (struct pf_condition){ .key = key };
@@ -214,6 +238,7 @@
 	}
 	*b = (struct batch){ .holder = h,
 			     .number = h->batch_number++,
+			     .pending = h->batches_in_flight,
 			     .records = n,
 			     .last_seq = h->queue[first + n - 1].seq };
 	record_pack_batch(&records, n, &b->bytes);
