Write the first list of daemons once all had time to connect

Cause: the first holder of a cell listed after 1 s those that had connected by then. If it is lost in the next second, the others are not in the list and wait 62.5 s before they claim; without a list they claim at once, and a holder whose list was never stored does not act on acknowledgements alone.

Evidence: Links.FirstListNamesDaemonsThatConnectLate, in which a daemon connects after 1.5 s; the list names it from the start.

--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -27,6 +27,8 @@
 #define CONFIRM_INTERVAL_MS 500
 /* Interval at which the holder updates the list of daemons, if it differs. */
 #define DAEMONS_INTERVAL_MS 1000
+/* The first list of a cell is written when all had time to connect. */
+#define FIRST_DAEMONS_MS 2000
 /* Interval at which the holder reads the list, if it has not written it. */
 #define DAEMONS_READ_INTERVAL_MS 2000
 /* Interval at which a daemon that is not in the list tries to enter it. */
@@ -276,7 +278,8 @@
 	t->lease_id = 0;
 	t->renew_ms = 0;
 	t->claim_due_ms = 0;
-	t->daemons_ms = t->began_ms + DAEMONS_INTERVAL_MS;
+	t->daemons_ms = t->began_ms + (t->daemons_revision ? DAEMONS_INTERVAL_MS
+							   : FIRST_DAEMONS_MS);
 	links_expect(t->d->links, t->former,
 		     t->daemons.len ? t->daemons.data : "");
 	cd_start_term(t->d, token);
--- a/tests/links_test.cc
+++ b/tests/links_test.cc
@@ -694,6 +694,22 @@
 	EXPECT_TRUE(c.stops());
 }
 
+/* Guards against a first list that keeps daemons that are late from claiming.
+ */
+TEST(Links, FirstListNamesDaemonsThatConnectLate)
+{
+	Cell c;
+	Daemon *holder = c.add("d1");
+	Daemon *late = c.add("d2");
+
+	c.lead(holder, "");
+	c.run(1500);
+	EXPECT_EQ(stored, "");
+	c.follow(late, holder);
+	c.run(1000);
+	EXPECT_EQ(stored, "d1 d2");
+}
+
 /* Guards against a holder that goes on without a daemon that may be listed. */
 TEST(Links, DaemonOfAListWithoutAnAnswerIsKnown)
 {
