--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -144,6 +144,7 @@
 	e.began_ms = 5000;
 	e.confirmed_ms = 10000;
 	e.store_ms = 10000;
+	e.listed_ms = 10000;
 	e.acknowledged_ms = followers ? 20000 : 0;
 	e.followers = followers;
 	return e;
@@ -211,6 +212,63 @@
 	}
 }
 
+/* Guards against a successor that entered the list behind an outage. */
+TEST(Term, NoHolderActsOnAnEarlierListOnceADaemonThatEnteredItClaims)
+{
+	struct term_evidence e = followed_term(3);
+	uint64_t entered_ms = e.listed_ms + 1;
+	uint64_t now = entered_ms;
+
+	EXPECT_FALSE(term_may_claim(TERM_UNLISTED, 0, 1000000));
+	EXPECT_FALSE(term_may_claim(TERM_ENTERED, 0, 1000000));
+	EXPECT_TRUE(term_may_claim(TERM_LISTED, 0, now));
+	/* The clock of the holder is 2% slow, the other one 2% fast. */
+	while (!term_may_claim(TERM_ENTERED, entered_ms * 102 / 98,
+			       now * 102 / 98))
+		now += 10;
+	e.acknowledged_ms = now;
+	EXPECT_FALSE(is_valid(e, now + 1500));
+	e.acknowledged_ms = 50000;
+	EXPECT_TRUE(is_valid(e, 50000));
+	e.listed_ms = 0;
+	EXPECT_FALSE(is_valid(e, 50000));
+	e = followed_term(0);
+	e.alone = true;
+	e.confirmed_ms = now;
+	EXPECT_LE(term_confirmed_ms(&e, now + 1), now);
+}
+
+/* Guards against a wait that forgets the leases of a term before the last. */
+TEST(Term, LeasesOfEarlierTermsCountUntilTheyHaveEnded)
+{
+	struct term_leases former = {};
+
+	former.own_ms = 2000;
+	former.earlier_ms = 9800;
+	EXPECT_EQ(term_earlier_lease_ms(&former, 1000), 9800U);
+	/* A holder acts for 61.5 s without the store; clocks differ by 4%. */
+	EXPECT_EQ(term_earlier_lease_ms(&former, (61500 + 9800) * 103 / 100),
+		  9800U);
+	EXPECT_EQ(term_earlier_lease_ms(&former, 90000), 2000U);
+	former.own_ms = 9900;
+	EXPECT_EQ(term_earlier_lease_ms(&former, 1000), 9900U);
+	EXPECT_EQ(term_predecessor_wait_ms(9800), 11700U);
+	EXPECT_GT(term_predecessor_wait_ms(86400000), 86400000U);
+}
+
+TEST(Term, ListTellsEntriesOfADaemonFromThoseOfAHolder)
+{
+	const std::string names = "d1 d23 +d4";
+
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d1"), TERM_LISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d23"), TERM_LISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d4"), TERM_ENTERED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d2"),
+		  TERM_UNLISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "4"), TERM_UNLISTED);
+	EXPECT_EQ(term_listing("", 0, "d1"), TERM_LISTED);
+}
+
 /* Guards against a single daemon that wakes when another has started. */
 TEST(Term, SingleDaemonThatWakesFromAPauseIsInvalid)
 {
