--- a/common/httpc.h
+++ b/common/httpc.h
@@ -42,7 +42,7 @@
 	const char *headers; /* NULL, or complete lines ending in CRLF */
 	const void *body;
 	size_t body_len;
-	uint32_t timeout_ms;	   /* for the whole exchange */
+	uint32_t timeout_ms; /* for the whole exchange */
 	/*
 	 * Each part of a response that has begun may take this long, also
 	 * beyond timeout_ms.
