54-cell-late-links: no run lapses while its minion works

The test saw a minion that the holder gave up, not the runs that ended on the minion as its lease was not renewed in time. The double counts these now.

--- a/fakes/platform_minion.c
+++ b/fakes/platform_minion.c
@@ -186,6 +186,7 @@
 	uint32_t late_ms;
 	uint32_t link_delay_ms; /* of late links, each way */
 	uint32_t late_answers;
+	uint64_t lapsed; /* runs whose lease ended */
 	uint64_t twice;
 	uint64_t after_done;
 	uint64_t after_listed;
@@ -556,6 +557,7 @@
 	tally->running--;
 	tally->done += !strcmp(outcome, "done");
 	tally->failed += !strcmp(outcome, "failed");
+	p->lapsed += !strcmp(outcome, "lapsed");
 	floor_raise(m, run.task, run.number);
 	if (run.gang)
 		end_gang(p, &run, !strcmp(outcome, "done") ? "done" : "broken");
@@ -1202,11 +1204,11 @@
 		json_array_append_new(violations,
 				      json_string(p->violations[i]));
 	return json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:o,s:o,s:o}",
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:o,s:o,s:o}",
 		"twice", (json_int_t)p->twice, "after_done",
 		(json_int_t)p->after_done, "after_listed",
-		(json_int_t)p->after_listed, "over_capacity",
-		(json_int_t)p->over_capacity, "over_budget",
+		(json_int_t)p->after_listed, "lapsed", (json_int_t)p->lapsed,
+		"over_capacity", (json_int_t)p->over_capacity, "over_budget",
 		(json_int_t)p->over_budget, "too_early",
 		(json_int_t)p->too_early, "fenced", (json_int_t)p->fenced,
 		"questions", (json_int_t)p->advice_requests, "running",
--- a/tests/process/54-cell-late-links.sh
+++ b/tests/process/54-cell-late-links.sh
@@ -33,7 +33,8 @@
 log_line "silent=$(cat "$DIR"/d*.log | grep -c 'event=minion-silent')" \
 	"given_up=$given_up twice=$(platform_stat .minions.twice)" \
 	"after_done=$(platform_stat .minions.after_done)" \
-	"after_listed=$(platform_stat .minions.after_listed)"
+	"after_listed=$(platform_stat .minions.after_listed)" \
+	"lapsed=$(platform_stat .minions.lapsed)"
 [ "$LATE" = 1 ] && check "responses were late" \
 	[ "$(platform_stat .minions.late_answers)" -gt 0 ]
 check_equal "the holder has not changed" "$old" "$(cell_holder)"
@@ -41,3 +42,4 @@
 check_equal "no task was started after its end was listed" 0 \
 	"$(platform_stat .minions.after_listed)"
 check_equal "no minion was given up with its runs" 0 "$given_up"
+check_equal "no run lapsed" 0 "$(platform_stat .minions.lapsed)"
