--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -134,6 +134,7 @@
 	bool isolated;	     /* of a suspect, started in isolation */
 	bool stopping;
 	bool stop_in_flight;
+	bool stop_void;		/* that stop may have reached an earlier life */
 	uint64_t next_stop_ms;	/* next attempt */
 	uint64_t stop_acked_ms; /* 0: not acknowledged */
 	bool in_report;		/* listed in the report being processed */
@@ -162,6 +163,7 @@
 	uint32_t incarnation; /* counts incarnations in this slot */
 	bool used;
 	bool listed;
+	uint64_t addr_ms;     /* when its address changed, 0: never */
 	uint64_t unlisted_ms; /* when the platform stopped listing it */
 	bool enrolled;	      /* the record is durable: orders may be sent */
 	bool enrolling;	      /* the record is not durable yet */
@@ -190,6 +192,7 @@
 	uint64_t next_poll_ms;
 	uint64_t born_unix_ms;
 	uint64_t report_sent_ms; /* latest poll that was answered */
+	uint64_t reported_ms;	 /* latest report */
 	bool clock_known;
 	uint64_t anchor_clock_ms; /* clock of the minion at anchor_ms */
 	uint64_t anchor_ms;
@@ -200,6 +203,7 @@
 	uint64_t record_seq;	   /* its latest record, but SETTLED */
 	uint64_t last_end_handled; /* highest end number applied */
 	uint64_t last_end_durable; /* highest end number made durable */
+	bool ends_listed;	   /* in the latest report */
 	double fail_score;
 	uint64_t suspect_until_ms;
 	uint64_t drain_ms;	    /* when draining began, 0: not draining */
@@ -210,6 +214,10 @@
 	uint32_t run_count;
 	uint32_t run_capacity;
 	struct cell_run *runs;
+	/* Removed from runs, though their starts have no response. */
+	struct cell_run *unanswered;
+	uint32_t unanswered_count;
+	uint32_t unanswered_capacity;
 	/* Tasks of the step being placed that still fit. */
 	uint32_t free_slots;
 	UT_hash_handle hh; /* by id */
@@ -345,8 +353,12 @@
 	struct cell_lane *lanes;
 	uint32_t lane_count;
 	uint32_t lanes_up;
-	uint32_t pass_requests; /* advice requests prepared in this pass */
-	bool lanes_ranked;	/* lanes_up and the ranks are current */
+	uint32_t slice_requests; /* advice requests prepared in this slice */
+	bool request_deferred; /* by the latest step: too many in this slice */
+	/* Index in ready at which the pass goes on, CELL_NONE: it is done. */
+	uint32_t deferred_from;
+	uint64_t last_slice_ms;
+	bool lanes_ranked; /* lanes_up and the ranks are current */
 	struct cell_advice_pending *advice_requests;
 	uint32_t advice_request_count;
 	struct cell_accept_rate *accept_rates;
@@ -453,6 +465,18 @@
 void cell_minion_remove(struct cell *cell, const char *id);
 void cell_run_remove(struct cell *cell, struct cell_minion *m, uint32_t at);
 
+/* unanswered.c */
+bool cell_run_may_begin(const struct cell_run *run, uint64_t sent_ms);
+void cell_run_void_stops(struct cell_run *run);
+void cell_unanswered_add(struct cell_minion *m, const struct cell_run *run,
+			 uint64_t now_ms);
+struct cell_run *cell_unanswered_find(struct cell_minion *m, const char *task,
+				      uint64_t run);
+void cell_unanswered_remove(struct cell_minion *m, struct cell_run *run);
+void cell_unanswered_free(struct cell_minion *m);
+void cell_unanswered_stop(struct cell *cell, struct cell_minion *m,
+			  uint64_t now_ms);
+
 /* pace.c */
 bool cell_minion_needs_pacing(const struct cell_minion *m);
 uint32_t cell_minion_poll_wait_ms(const struct cell *cell,
@@ -482,6 +506,7 @@
 		     const struct cell_candidate *c, uint64_t run,
 		     uint64_t now_ms);
 void cell_schedule(struct cell *cell, uint64_t now_ms);
+void cell_schedule_deferred(struct cell *cell, uint64_t now_ms);
 
 /* crash.c */
 bool cell_task_suspect(const struct cell_task *task);
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -97,6 +97,7 @@
 {
 	HASH_DEL(cell->minion_index, m);
 	free(m->runs);
+	cell_unanswered_free(m);
 	m->runs = NULL;
 	m->run_count = 0;
 	m->run_capacity = 0;
@@ -238,33 +239,26 @@
 }
 
 /*
- * Logs the runs that are lost with their minion: for each, how long it had run
- * when the minion failed, and how many others ran beside it.
+ * Logs a run that is lost with its minion: how long it had run when the minion
+ * failed, and how many others ran beside it.
  */
-static void log_lost_runs(struct cell *cell, const struct cell_minion *m,
-			  const char *why, uint64_t now_ms)
+static void log_lost_run(struct cell *cell, const struct cell_minion *m,
+			 const struct cell_run *run, const char *why,
+			 uint32_t others, uint64_t now_ms)
 {
 	uint64_t failed_ms = m->failing ? m->failing_ms : now_ms;
 
-	if (!m->run_count)
-		return;
-	cell->stats.minions_lost++;
-	cell->stats.runs_lost += m->run_count;
-	for (uint32_t i = 0; i < m->run_count; i++) {
-		const struct cell_run *run = &m->runs[i];
-
-		cell_event(cell,
-			   &(struct cell_event){
-				   .what = "run-lost",
-				   .task = run->task,
-				   .minion = m->info.id,
-				   .run = run->run,
-				   .detail = why,
-				   .age_ms = failed_ms > run->sent_ms
-						     ? failed_ms - run->sent_ms
-						     : 0,
-				   .value = m->run_count - 1 });
-	}
+	cell->stats.runs_lost++;
+	cell_event(cell, &(struct cell_event){
+				 .what = "run-lost",
+				 .task = run->task,
+				 .minion = m->info.id,
+				 .run = run->run,
+				 .detail = why,
+				 .age_ms = failed_ms > run->sent_ms
+						   ? failed_ms - run->sent_ms
+						   : 0,
+				 .value = others });
 }
 
 /* Logs that a minion responds again. */
@@ -318,35 +312,63 @@
 }
 
 /*
- * Settles a minion: nothing runs on it, and no start that was sent earlier can
- * take effect there, except in the next life of one that restarts meanwhile.
+ * Releases the runs that are lost with a life of their minion. If the report of
+ * another life was requested at @sent_ms, those that may begin there are kept.
+ * It is 0 if the minion does not respond: a start that arrives later has no
+ * lease left, except in another life.
  */
-static void minion_settle(struct cell *cell, struct cell_minion *m,
-			  const char *why, uint64_t now_ms)
+static void release_lost_runs(struct cell *cell, struct cell_minion *m,
+			      const char *why, uint64_t sent_ms,
+			      uint64_t now_ms)
 {
-	log_settled(cell, m, why, now_ms);
-	log_lost_runs(cell, m, why, now_ms);
-	while (m->run_count) {
-		struct cell_run run = m->runs[0];
+	uint32_t others = m->run_count - 1;
+	bool lost = false;
+	uint32_t i = 0;
 
-		cell_run_remove(cell, m, 0);
+	while (i < m->run_count) {
+		struct cell_run run = m->runs[i];
+
+		if (sent_ms && cell_run_may_begin(&run, sent_ms)) {
+			cell_run_void_stops(&m->runs[i++]);
+			continue;
+		}
+		lost = true;
+		log_lost_run(cell, m, &run, why, others, now_ms);
+		cell_run_remove(cell, m, i);
+		if (!run.acked_ms)
+			cell_unanswered_add(m, &run, now_ms);
 		cell_task_release(cell, run.task, run.run, now_ms);
 	}
+	cell->stats.minions_lost += lost;
+}
+
+/*
+ * Settles a minion: nothing of its former life runs on it. @sent_ms as in
+ * release_lost_runs(). While runs are kept, the minion remains enrolled: a
+ * successor has to know of them.
+ */
+static void minion_settle(struct cell *cell, struct cell_minion *m,
+			  const char *why, uint64_t sent_ms, uint64_t now_ms)
+{
+	log_settled(cell, m, why, now_ms);
+	release_lost_runs(cell, m, why, sent_ms, now_ms);
 	if (m->inherited) {
 		m->inherited = false;
 		cell->unsettled--;
 	}
-	if (m->enrolled || m->enrolling)
-		cell_record_add(
-			cell,
-			&(struct cell_record){ .kind = CELL_RECORD_SETTLED,
-					       .minion = m->info.id },
-			NULL, NULL, 0, now_ms);
-	m->enrolled = false;
-	m->enrolling = false;
+	if (!m->run_count) {
+		if (m->enrolled || m->enrolling)
+			cell_record_add(cell,
+					&(struct cell_record){
+						.kind = CELL_RECORD_SETTLED,
+						.minion = m->info.id },
+					NULL, NULL, 0, now_ms);
+		m->enrolled = false;
+		m->enrolling = false;
+		m->lease_until_ms = 0;
+	}
 	m->contacted = false;
 	m->clock_known = false;
-	m->lease_until_ms = 0;
 	m->deadline_ms = 0;
 	/* Ends and acknowledgements of this incarnation are void. */
 	m->incarnation++;
@@ -359,6 +381,29 @@
 	cell->dirty = true;
 }
 
+/*
+ * Handles that a minion is at another address: what was sent to the former one
+ * says nothing of it.
+ */
+static void minion_moved(struct cell_minion *m, uint64_t now_ms)
+{
+	m->addr_ms = now_ms;
+	m->poll_now = true;
+	for (uint32_t i = 0; i < CELL_POLLS_MAX; i++)
+		m->polls[i].overdue = m->polls[i].open;
+}
+
+/*
+ * Returns true if the lack of a response to a call that was sent at @sent_ms
+ * says nothing of the minion: a later poll was answered, or its address has
+ * changed.
+ */
+static bool call_is_outdated(const struct cell_minion *m, uint64_t sent_ms)
+{
+	return sent_ms < m->report_sent_ms ||
+	       (m->addr_ms && sent_ms <= m->addr_ms);
+}
+
 static void minion_update_info(struct cell *cell, struct cell_minion *m,
 			       const struct cell_minion_info *info,
 			       uint64_t now_ms)
@@ -372,6 +417,8 @@
 		m->drain_ms = 0;
 	else if (!m->drain_ms)
 		m->drain_ms = now_ms;
+	if (m->info.addr[0] && strcmp(m->info.addr, info->addr) != 0)
+		minion_moved(m, now_ms);
 	m->info = *info;
 	m->listed = true;
 }
@@ -695,6 +742,8 @@
 			continue;
 		}
 		cell_run_remove(cell, m, i);
+		if (!run.acked_ms)
+			cell_unanswered_add(m, &run, now_ms);
 		cell_event(cell, &(struct cell_event){ .what = "run-missing",
 						       .task = run.task,
 						       .minion = m->info.id,
@@ -751,15 +800,21 @@
 				       now_ms - sent_ms - poll.wait_ms);
 	another_life = m->born_unix_ms && report->born_unix_ms &&
 		       m->born_unix_ms != report->born_unix_ms;
-	/* A response may be overtaken by that of a later life. */
-	if (another_life && sent_ms < m->report_sent_ms)
+	/*
+	 * Polls that are open at the same time may be carried out in any order,
+	 * and a response may be overtaken by that of a later life.
+	 */
+	if (another_life && sent_ms < m->reported_ms) {
+		m->poll_now = true;
 		return;
+	}
+	m->reported_ms = now_ms;
 	if (sent_ms > m->report_sent_ms)
 		m->report_sent_ms = sent_ms;
 	if (another_life) {
 		set_failing(m, false, now_ms);
 		cell_minion_blame(cell, m, now_ms);
-		minion_settle(cell, m, "another life", now_ms);
+		minion_settle(cell, m, "another life", sent_ms, now_ms);
 	} else if (m->failing) {
 		log_back(cell, m, now_ms);
 		cell_minion_clear_runs(cell, m, now_ms);
@@ -776,11 +831,14 @@
 	m->anchor_ms = now_ms;
 	for (uint32_t i = 0; i < m->run_count; i++)
 		m->runs[i].in_report = false;
+	m->ends_listed = report->ended_count > 0;
 	complete = handle_ends(cell, m, report, now_ms);
 	for (uint32_t i = 0; i < report->running_count; i++)
 		handle_running(cell, m, &report->running[i], now_ms);
 	if (complete)
 		remove_missing_runs(cell, m, sent_ms, now_ms);
+	if (another_life)
+		cell_unanswered_stop(cell, m, now_ms);
 	cell_minion_update_pace(cell, m, now_ms);
 	if (!m->contacted)
 		handle_first_report(cell, m, report, now_ms);
@@ -821,15 +879,15 @@
 		return;
 	poll = cell_poll_close(m, sent_ms);
 	cell->minions_due = true;
-	/* It has responded since, or the lack of a response is known. */
-	if (sent_ms < m->report_sent_ms ||
+	/* The lack of a response to an overdue poll is known. */
+	if (call_is_outdated(m, sent_ms) ||
 	    (poll.overdue && result != CELL_OTHER_INCARNATION))
 		return;
 	if (result == CELL_OTHER_INCARNATION) {
 		set_failing(m, false, now_ms);
 		cell_minion_blame(cell, m, now_ms);
 		if (m->enrolled || m->run_count || m->inherited)
-			minion_settle(cell, m, "replaced", now_ms);
+			minion_settle(cell, m, "replaced", 0, now_ms);
 		m->next_poll_ms = now_ms + POLL_RETRY_SLOW_MS;
 		return;
 	}
@@ -883,8 +941,12 @@
 	struct cell_run *r = m ? cell_run_find(m, task, run) : NULL;
 	struct cell_step *step;
 
-	if (!r)
+	if (!r) {
+		r = m ? cell_unanswered_find(m, task, run) : NULL;
+		if (r && result != CELL_NO_ANSWER)
+			cell_unanswered_remove(m, r);
 		return;
+	}
 	note_start_response(cell, m, r, result, now_ms);
 	if (result == CELL_OK) {
 		m->alive_ms = now_ms;
@@ -900,7 +962,9 @@
 					       .run = run,
 					       .value = (uint64_t)result });
 	if (result != CELL_NO_ANSWER) {
-		if (result == CELL_NOT_SENT || result == CELL_OTHER_INCARNATION)
+		if ((result == CELL_NOT_SENT ||
+		     result == CELL_OTHER_INCARNATION) &&
+		    !call_is_outdated(m, r->sent_ms))
 			set_failing(m, true, now_ms);
 		handle_start_rejected(cell, m, r, result, now_ms);
 		return;
@@ -923,10 +987,15 @@
 	struct cell_run *r = m ? cell_run_find(m, task, run) : NULL;
 
 	(void)cell;
+	if (m && !r)
+		r = cell_unanswered_find(m, task, run);
 	if (!r)
 		return;
 	r->stop_in_flight = false;
-	if (result == CELL_OK) {
+	if (r->stop_void) {
+		r->stop_void = false;
+		r->next_stop_ms = now_ms;
+	} else if (result == CELL_OK) {
 		r->stop_acked_ms = now_ms;
 		/* Only a later report shows whether it ever started. */
 		m->poll_now |= !r->acked_ms;
@@ -965,7 +1034,7 @@
 		if (job)
 			job->confirm_after_ms = now_ms;
 	}
-	minion_settle(cell, m, why, now_ms);
+	minion_settle(cell, m, why, 0, now_ms);
 }
 
 /*
@@ -996,7 +1065,7 @@
 	/* A successor need not wait for a minion that is about to leave. */
 	if (m->drain_ms && m->enrolled && !m->inherited && !m->run_count &&
 	    records_durable(cell, m))
-		minion_settle(cell, m, "drained", now_ms);
+		minion_settle(cell, m, "drained", 0, now_ms);
 	minion_enroll(cell, m, now_ms);
 	if (m->inherited && !leased && (!m->contacted || m->failing))
 		settle_by_time(cell, m, "leases of earlier terms ended",
@@ -1005,7 +1074,7 @@
 	    !m->inherited && records_durable(cell, m) &&
 	    now_ms > m->unlisted_ms + UNLISTED_TIMEOUT_MS) {
 		if (m->enrolled)
-			minion_settle(cell, m, "left", now_ms);
+			minion_settle(cell, m, "left", 0, now_ms);
 		if (!cell_poll_is_open(m)) {
 			minion_free(cell, m);
 			return;
@@ -1037,6 +1106,7 @@
 	HASH_CLEAR(hh, cell->minion_index);
 	for (uint32_t i = 0; i < cell->minion_count; i++) {
 		free(cell->minions[i]->runs);
+		cell_unanswered_free(cell->minions[i]);
 		free(cell->minions[i]);
 	}
 	free(cell->minions);
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -144,6 +144,7 @@
 	e.began_ms = 5000;
 	e.confirmed_ms = 10000;
 	e.store_ms = 10000;
+	e.listed_ms = 10000;
 	e.acknowledged_ms = followers ? 20000 : 0;
 	e.followers = followers;
 	return e;
@@ -211,6 +212,63 @@
 	}
 }
 
+/* Guards against a successor that entered the list behind an outage. */
+TEST(Term, NoHolderActsOnAnEarlierListOnceADaemonThatEnteredItClaims)
+{
+	struct term_evidence e = followed_term(3);
+	uint64_t entered_ms = e.listed_ms + 1;
+	uint64_t now = entered_ms;
+
+	EXPECT_FALSE(term_may_claim(TERM_UNLISTED, 0, 1000000));
+	EXPECT_FALSE(term_may_claim(TERM_ENTERED, 0, 1000000));
+	EXPECT_TRUE(term_may_claim(TERM_LISTED, 0, now));
+	/* The clock of the holder is 2% slow, the other one 2% fast. */
+	while (!term_may_claim(TERM_ENTERED, entered_ms * 102 / 98,
+			       now * 102 / 98))
+		now += 10;
+	e.acknowledged_ms = now;
+	EXPECT_FALSE(is_valid(e, now + 1500));
+	e.acknowledged_ms = 50000;
+	EXPECT_TRUE(is_valid(e, 50000));
+	e.listed_ms = 0;
+	EXPECT_FALSE(is_valid(e, 50000));
+	e = followed_term(0);
+	e.alone = true;
+	e.confirmed_ms = now;
+	EXPECT_LE(term_confirmed_ms(&e, now + 1), now);
+}
+
+/* Guards against a wait that forgets the leases of a term before the last. */
+TEST(Term, LeasesOfEarlierTermsCountUntilTheyHaveEnded)
+{
+	struct term_leases former = {};
+
+	former.own_ms = 2000;
+	former.earlier_ms = 9800;
+	EXPECT_EQ(term_earlier_lease_ms(&former, 1000), 9800U);
+	/* A holder acts for 61.5 s without the store; clocks differ by 4%. */
+	EXPECT_EQ(term_earlier_lease_ms(&former, (61500 + 9800) * 103 / 100),
+		  9800U);
+	EXPECT_EQ(term_earlier_lease_ms(&former, 90000), 2000U);
+	former.own_ms = 9900;
+	EXPECT_EQ(term_earlier_lease_ms(&former, 1000), 9900U);
+	EXPECT_EQ(term_predecessor_wait_ms(9800), 11700U);
+	EXPECT_GT(term_predecessor_wait_ms(86400000), 86400000U);
+}
+
+TEST(Term, ListTellsEntriesOfADaemonFromThoseOfAHolder)
+{
+	const std::string names = "d1 d23 +d4";
+
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d1"), TERM_LISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d23"), TERM_LISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d4"), TERM_ENTERED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "d2"),
+		  TERM_UNLISTED);
+	EXPECT_EQ(term_listing(names.data(), names.size(), "4"), TERM_UNLISTED);
+	EXPECT_EQ(term_listing("", 0, "d1"), TERM_LISTED);
+}
+
 /* Guards against a single daemon that wakes when another has started. */
 TEST(Term, SingleDaemonThatWakesFromAPauseIsInvalid)
 {
@@ -1090,6 +1148,113 @@
 	EXPECT_EQ(f.advice_requests.size(), 200U);
 }
 
+namespace
+{
+
+/* The advice service: answers one request of a lane at a time. */
+struct LaneServer {
+	static constexpr uint64_t cost_ms = 12;
+	uint64_t free_ms[32] = {};
+	size_t seen = 0;
+	std::vector<std::pair<uint64_t, size_t>> due;
+	std::set<std::string> asked;
+
+	void run(CellFixture *f)
+	{
+		for (uint32_t i = 0; i < 20; i++)
+			f->report(i, "m" + std::to_string(i), {}, {});
+		for (; seen < f->advice_requests.size(); seen++) {
+			const AdviceRequest &q = f->advice_requests[seen];
+			uint64_t &free = free_ms[q.lane];
+
+			asked.insert(q.step);
+			free = std::max(free, f->now) + cost_ms;
+			due.emplace_back(free, seen);
+		}
+		for (auto it = due.begin(); it != due.end();) {
+			const AdviceRequest &q = f->advice_requests[it->second];
+			struct cell_ticket ticket = { q.minions[0].c_str(),
+						      "t" };
+
+			if (it->first > f->now) {
+				++it;
+				continue;
+			}
+			cell_on_advice(f->cell, q.handle, true, &ticket, 1,
+				       f->now);
+			it = due.erase(it);
+		}
+	}
+};
+
+void backlog(CellFixture *f, int urgent, int others)
+{
+	struct cell_queue_spec *q;
+
+	advised_queue(f);
+	q = f->queue("others", 1, 2);
+	q->advice = f->config.queues[0].advice;
+	q->advice.decide_ms = 400;
+	cell_replay_done(f->cell, f->now);
+	f->minions(20, 200000);
+	for (uint32_t lane = 1; lane < 32; lane++)
+		cell_lane_up(f->cell, lane);
+	for (int i = 0; i < urgent; i++)
+		f->submit(
+			CellFixture::job("u" + std::to_string(i), "q", 1, 100));
+	for (int i = 0; i < others; i++)
+		f->submit(CellFixture::job("o" + std::to_string(i), "others", 1,
+					   100));
+}
+
+} // namespace
+
+/*
+ * Guards against lanes that stay idle beside a backlog: 240 requests a second
+ * were sent, and none for the steps of less urgent queues.
+ */
+TEST(Cell, BacklogIsAskedForAsFastAsTheLanesAnswer)
+{
+	CellFixture f;
+	LaneServer lanes;
+
+	backlog(&f, 1500, 20);
+	/* Eight lanes take short requests: 1,500 take them 2.3 s. */
+	for (int i = 0; i < 300; i++) {
+		f.tick(10);
+		lanes.run(&f);
+	}
+	EXPECT_EQ(lanes.asked.size(), 1520U);
+}
+
+/* Guards against a pass that goes on with the steps of a job that is gone. */
+TEST(Cell, PassOverABacklogGoesOnAfterJobsHaveEnded)
+{
+	CellFixture f;
+	LaneServer lanes;
+	std::set<std::string> before;
+
+	backlog(&f, 1500, 20);
+	f.tick(50);
+	lanes.run(&f);
+	before = lanes.asked;
+	for (int i = 0; i < 1500; i += 2)
+		cell_cancel(f.cell, ("u" + std::to_string(i)).c_str(), f.now);
+	f.durable();
+	for (int i = 0; i < 200; i++) {
+		f.tick(10);
+		lanes.run(&f);
+	}
+	for (int i = 0; i < 1500; i++) {
+		std::string step = "u" + std::to_string(i) + ".0.0";
+
+		if (i % 2)
+			EXPECT_TRUE(lanes.asked.count(step)) << step;
+		else
+			EXPECT_EQ(lanes.asked.count(step), before.count(step));
+	}
+}
+
 /*
  * Guards against a request that names a minion twice, or names full minions
  * though there are others with free resources.
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "cell_fixture.h"
 
 namespace
@@ -22,6 +24,41 @@
 		minion = starts[0].minion;
 		id = starts[0].minion_id;
 	}
+
+	/* Answers the latest stop. */
+	void stopped(enum cell_result result)
+	{
+		ASSERT_FALSE(stops.empty());
+		cell_on_stop(cell, stops.back().minion,
+			     stops.back().task.c_str(), stops.back().run,
+			     result, now);
+	}
+
+	/* Both minions are listed at other addresses. */
+	void move()
+	{
+		struct cell_minion_info infos[2];
+
+		for (int i = 0; i < 2; i++) {
+			infos[i] = CellFixture::minion("m" + std::to_string(i),
+						       8000);
+			snprintf(infos[i].addr, sizeof(infos[i].addr),
+				 "10.0.0.2:%d", 80 + i);
+		}
+		cell_set_minions(cell, infos, 2, now);
+	}
+
+	/* The minion of the task does not respond, the other one does. */
+	void silent_ms(int ms)
+	{
+		for (int i = 0; i < ms; i += 100) {
+			tick(100);
+			cell_on_poll_failed(cell, minion, id.c_str(),
+					    CELL_NO_ANSWER, now, now);
+			report(1 - minion, "m" + std::to_string(1 - minion), {},
+			       {});
+		}
+	}
 };
 
 } // namespace
@@ -39,26 +76,303 @@
 	EXPECT_EQ(f.stops.size(), 1U);
 }
 
+TEST(Restart, HeldTaskStartsOnceTheNextLifeHasStoppedItsRun)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.stopped(CELL_OK);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.report(f.minion, f.id, {}, {}, 200);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.report(f.minion, f.id, {}, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
+TEST(Restart, StopAcknowledgedByTheFormerLifeDoesNotReleaseRuns)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(600);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	f.tick(100);
+	ASSERT_EQ(f.stops.size(), 1U);
+	f.stopped(CELL_OK);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.stops.size(), 2U);
+}
+
+TEST(Restart, LateResponseToAStopOfTheFormerLifeDoesNotReleaseRuns)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(600);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	f.tick(100);
+	ASSERT_EQ(f.stops.size(), 1U);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	f.stopped(CELL_OK);
+	f.tick(100);
+	f.report(f.minion, f.id, {}, {});
+	f.durable();
+	f.tick(400);
+	EXPECT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.stops.size(), 2U);
+}
+
+TEST(Restart, RunAcknowledgedByTheNextLifeIsNotStartedAgain)
+{
+	StartedTask f;
+	Row row = { "j.0.0.0", 0, "" };
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	row.run = f.starts[0].run;
+	f.tick(100);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", row.run, CELL_OK, f.now);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {}, 150);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	f.report(f.minion, f.id, { row }, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.stops.size(), 0U);
+}
+
+TEST(Restart, RunAcknowledgedByTheFormerLifeStartsAgain)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(100);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
+		      f.now);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
+TEST(Restart, ReportOfTheFormerLifeThatWasRequestedLaterIsIgnored)
+{
+	StartedTask f;
+	std::vector<Row> rows;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	rows.push_back({ "j.0.0.0", f.starts[0].run, "" });
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, rows, {}, 100);
+	f.durable();
+	f.tick(100);
+	f.born_unix_ms = 1;
+	f.report(f.minion, f.id, {}, {}, 150);
+	f.durable();
+	f.tick(100);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
+
+TEST(Restart, StartIsStoppedWhenAMinionComesBackAfterItsLease)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	f.tick();
+	f.stopped(CELL_NO_ANSWER);
+	f.silent_ms(7000);
+	EXPECT_EQ(f.settled, std::vector<std::string>{ f.id });
+	f.durable();
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.stops.clear();
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	ASSERT_EQ(f.stops.size(), 1U);
+	EXPECT_EQ(f.stops[0].run, f.starts[0].run);
+	EXPECT_EQ(f.stops[0].minion, f.minion);
+}
+
+TEST(Restart, StartIsStoppedWhenAReplacedMinionComesBack)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(100);
+	cell_on_poll_failed(f.cell, f.minion, f.id.c_str(),
+			    CELL_OTHER_INCARNATION, f.now, f.now);
+	f.tick(1100);
+	f.durable();
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	ASSERT_EQ(f.stops.size(), 1U);
+	EXPECT_EQ(f.stops[0].run, f.starts[0].run);
+}
+
+TEST(Restart, StartThatNeverBeganIsStoppedInTheNextLifeToo)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	f.tick();
+	f.stopped(CELL_OK);
+	f.tick(100);
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	ASSERT_EQ(f.starts.size(), 2U);
+	cell_on_start(f.cell, f.starts[1].minion, "j.0.0.0", f.starts[1].run,
+		      CELL_OK, f.now);
+	f.tick(2000);
+	f.born_unix_ms = 2;
+	f.report(f.minion, f.id, {}, {});
+	f.tick(100);
+	ASSERT_FALSE(f.stops.empty());
+	EXPECT_EQ(f.stops.back().run, f.starts[0].run);
+	EXPECT_EQ(f.stops.size(), 2U);
+}
+
+TEST(Restart, GangDoesNotStartBesideAStartOfAFormerLife)
+{
+	CellFixture f;
+	struct cell_job_spec spec = CellFixture::job("g", "q", 2, 6000);
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(3, 8000);
+	spec.steps[0].gang = true;
+	f.submit(spec);
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 2U);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(f.starts[0].minion, f.starts[0].minion_id, {}, {});
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.stops.size(), 2U);
+	f.born_unix_ms = 1;
+	cell_on_start(f.cell, f.starts[1].minion, f.starts[1].task.c_str(),
+		      f.starts[1].run, CELL_REJECTED_OLD, f.now);
+	f.durable();
+	f.tick(100);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
 TEST(Restart, LateAnswerFromAFormerAddressDoesNotReleaseRuns)
 {
 	StartedTask f;
-	struct cell_minion_info infos[2];
+	uint64_t sent_ms = f.now;
 
 	ASSERT_EQ(f.starts.size(), 1U);
 	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
 		      f.now);
-	for (int i = 0; i < 2; i++) {
-		infos[i] = CellFixture::minion("m" + std::to_string(i), 8000);
-		snprintf(infos[i].addr, sizeof(infos[i].addr), "10.0.0.2:%d",
-			 80 + i);
-	}
-	cell_set_minions(f.cell, infos, 2, f.now);
+	f.tick(100);
+	f.move();
+	f.tick(100);
 	f.report(f.minion, f.id, { { "j.0.0.0", f.starts[0].run, "" } }, {});
 	cell_on_poll_failed(f.cell, f.minion, f.id.c_str(),
-			    CELL_OTHER_INCARNATION, f.now, f.now);
+			    CELL_OTHER_INCARNATION, sent_ms, f.now);
 	f.durable();
 	f.tick(100);
 	f.durable();
 	f.tick(100);
 	EXPECT_EQ(f.starts.size(), 1U);
 }
+
+TEST(Restart, AnswerFromAFormerAddressBeforeThatFromTheNextDoesNotReleaseRuns)
+{
+	StartedTask f;
+	uint64_t sent_ms = f.now;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
+		      f.now);
+	f.tick(100);
+	f.polls.clear();
+	f.move();
+	f.tick(100);
+	EXPECT_EQ(std::count(f.polls.begin(), f.polls.end(), f.minion), 1);
+	cell_on_poll_failed(f.cell, f.minion, f.id.c_str(),
+			    CELL_OTHER_INCARNATION, sent_ms, f.now);
+	f.report(f.minion, f.id, { { "j.0.0.0", f.starts[0].run, "" } }, {});
+	f.durable();
+	f.tick(100);
+	f.durable();
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
+
+TEST(Restart, StartRejectedAtAFormerAddressDoesNotMakeAMinionFail)
+{
+	StartedTask f;
+	struct cell_stats stats;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(100);
+	f.move();
+	f.tick(100);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_OTHER_INCARNATION, f.now);
+	cell_get_stats(f.cell, &stats);
+	EXPECT_EQ(stats.failing, 0U);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
+TEST(Restart, AcknowledgementOfEndsIsNotRepeatedForAnotherLife)
+{
+	StartedTask f;
+	std::vector<End> ends;
+	struct cell_poll poll;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	ends.push_back({ 1, "j.0.0.0", f.starts[0].run, CELL_END_FAILED, "" });
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
+		      f.now);
+	f.tick(100);
+	f.report(f.minion, f.id, {}, ends);
+	f.durable();
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
+	EXPECT_EQ(poll.observed, 1U);
+	f.tick(100);
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
+	EXPECT_EQ(poll.observed, 0U);
+	f.report(f.minion, f.id, {}, ends, 50);
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
+	EXPECT_EQ(poll.observed, 1U);
+	f.report(f.minion, f.id, {}, {});
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
+	EXPECT_EQ(poll.observed, 0U);
+}
