Simulated cell with late links beside takeovers, outages and lost replies

Guards against tasks run twice, wrong states and lost jobs when responses are late while holders change.

--- a/tests/cellsim_test.cc
+++ b/tests/cellsim_test.cc
@@ -243,6 +243,26 @@
 	RC_ASSERT(r.after_listed == 0U);
 }
 
+/* The invariants also hold when holders change and replies are lost meanwhile.
+ */
+RC_GTEST_PROP(Cellsim, InvariantsHoldUnderLateLinksAndOtherFaults, ())
+{
+	struct cellsim_settings s =
+		base_settings(*rc::gen::inRange(1, 1 << 30));
+	struct cellsim_result r;
+
+	s.zones = *rc::gen::inRange(1, 5);
+	s.late_links_every_ms = *rc::gen::inRange(1000, 10000);
+	s.takeover_every_ms = 4000;
+	s.unresponsive_every_ms = 3000;
+	s.outage_every_ms = 9000;
+	s.reply_loss_share = 0.03;
+	s.submit_ms = 15000;
+	s.run_ms = 120000;
+	cellsim_run(&s, &r);
+	expect_invariants(r, s);
+}
+
 /*
  * Guards against gangs that starve because smaller steps with slack left take
  * the capacity. 95% of the jobs of each class must meet their SLO.
