Play restarts under the same id in the simulated cell

A new fault of the simulated cell crashes a minion to which a start is on the way; requests to it are held back for up to 4 s and reach its next life, and half of the responses are lost. Requests are held back for one restart of a minion at a time.

The new property, of 100 cases with other intervals, holds.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -25,6 +25,8 @@
 #define PREDECESSOR_LEASE_MS 7400
 /* From when on a smaller capacity binds: 4 s of contact and one heartbeat. */
 #define SHRINK_GRACE_MS 5000
+/* Longest time for which a restart holds back requests. */
+#define HELD_BACK_MS 4000
 /* Ends that a report lists at most, the oldest first. */
 #define ENDS_LISTED_MAX 20
 /*
@@ -35,6 +37,7 @@
 #define FAULT_FREE_TAIL_MS 60000
 
 enum sim_event {
+	SIM_NONE,
 	SIM_TICK,
 	SIM_SUBMIT,
 	SIM_START_ARRIVES,
@@ -52,6 +55,7 @@
 	SIM_TAKEOVER,
 	SIM_UNRESPONSIVE,
 	SIM_CRASH,
+	SIM_RESTART,
 	SIM_RACK_CRASH,
 	SIM_TASK_CRASH,
 	SIM_OUTAGE,
@@ -101,6 +105,7 @@
 	uint64_t boot_ms;
 	uint64_t unresponsive_until_ms;
 	uint64_t down_until_ms;	 /* refuses connections until then */
+	uint64_t held_until_ms;	 /* requests that are held back arrive */
 	uint32_t shrunk_percent; /* capacity while shrunk */
 	uint64_t shrunk_ms;	 /* since when */
 	uint64_t shrunk_until_ms;
@@ -355,6 +360,9 @@
 
 	memcpy(e.task, stop->task, sizeof(e.task));
 	drop_reply(s, &e, &in_ms);
+	if (s->settings->trace)
+		printf("%" PRIu64 " run-stop %s %s run %" PRIu64 "\n", s->now,
+		       stop->task, stop->minion_id, stop->run);
 	if (e.unanswered) {
 		struct event lost = e;
 
@@ -1240,12 +1248,67 @@
 		m->down_until_ms = s->now + s->settings->restart_ms;
 }
 
+/* Delays the requests that are on the way to the minion. */
+static void hold_back_requests(struct cellsim *s, const struct sim_minion *m)
+{
+	struct event *held = xcalloc(s->heap_count + 1, sizeof(*held));
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->heap_count; i++) {
+		if ((s->heap[i].kind != SIM_START_ARRIVES &&
+		     s->heap[i].kind != SIM_STOP_ARRIVES) ||
+		    &s->minions[s->heap[i].minion] != m)
+			continue;
+		held[n++] = s->heap[i];
+		s->heap[i].kind = SIM_NONE;
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		uint64_t in_ms = draw(s) % HELD_BACK_MS;
+		struct event lost = held[i];
+
+		lost.kind = lost.kind == SIM_START_ARRIVES ? SIM_START_ANSWERED
+							   : SIM_STOP_ANSWERED;
+		lost.result = CELL_NO_ANSWER;
+		if (!held[i].unanswered &&
+		    (in_ms >= ORDER_TIMEOUT_MS || draw(s) & 1)) {
+			held[i].unanswered = true;
+			event_push(s, &lost, ORDER_TIMEOUT_MS);
+		}
+		event_push(s, &held[i], in_ms);
+	}
+	free(held);
+}
+
 static void on_crash(struct cellsim *s, struct event *e)
 {
 	crash_minion(s, &s->minions[draw(s) % s->settings->minions]);
 	event_push(s, e, draw_around(s, s->settings->crash_every_ms));
 }
 
+/*
+ * Crashes a minion to which a start is on the way. Requests to it are held
+ * back, and reach its next life; half of the responses are lost. Once at a
+ * time: no request is held back for longer than a life.
+ */
+static void on_restart(struct cellsim *s, struct event *e)
+{
+	struct sim_minion *m = NULL;
+
+	for (uint32_t i = 0; i < s->heap_count && !m; i++) {
+		if (s->heap[i].kind == SIM_START_ARRIVES &&
+		    s->now >= s->minions[s->heap[i].minion].held_until_ms)
+			m = &s->minions[s->heap[i].minion];
+	}
+	if (!m) {
+		event_push(s, e, 1);
+		return;
+	}
+	crash_minion(s, m);
+	m->held_until_ms = s->now + HELD_BACK_MS;
+	hold_back_requests(s, m);
+	event_push(s, e, draw_around(s, s->settings->restart_every_ms));
+}
+
 static void on_rack_crash(struct cellsim *s, struct event *e)
 {
 	uint32_t racks = s->settings->minions / CELLSIM_RACK_MINIONS;
@@ -1307,8 +1370,9 @@
 static bool is_fault(enum sim_event kind)
 {
 	return kind == SIM_TAKEOVER || kind == SIM_UNRESPONSIVE ||
-	       kind == SIM_CRASH || kind == SIM_RACK_CRASH ||
-	       kind == SIM_SHRINK || kind == SIM_OUTAGE;
+	       kind == SIM_CRASH || kind == SIM_RESTART ||
+	       kind == SIM_RACK_CRASH || kind == SIM_SHRINK ||
+	       kind == SIM_OUTAGE;
 }
 
 static void dispatch(struct cellsim *s, struct event *e)
@@ -1320,6 +1384,8 @@
 	    s->now + FAULT_FREE_TAIL_MS > s->settings->run_ms)
 		return;
 	switch (e->kind) {
+	case SIM_NONE:
+		break;
 	case SIM_TICK:
 		on_tick(s, e);
 		return;
@@ -1381,6 +1447,9 @@
 	case SIM_CRASH:
 		on_crash(s, e);
 		break;
+	case SIM_RESTART:
+		on_restart(s, e);
+		break;
 	case SIM_RACK_CRASH:
 		on_rack_crash(s, e);
 		break;
@@ -1448,6 +1517,7 @@
 	schedule_fault(s, SIM_TAKEOVER, set->takeover_every_ms);
 	schedule_fault(s, SIM_UNRESPONSIVE, set->unresponsive_every_ms);
 	schedule_fault(s, SIM_CRASH, set->crash_every_ms);
+	schedule_fault(s, SIM_RESTART, set->restart_every_ms);
 	schedule_fault(s, SIM_RACK_CRASH, set->rack_crash_every_ms);
 	schedule_fault(s, SIM_OUTAGE, set->outage_every_ms);
 	schedule_fault(s, SIM_SHRINK, set->shrink_every_ms);
--- a/fakes/cellsim.h
+++ b/fakes/cellsim.h
@@ -56,6 +56,7 @@
 	uint32_t takeover_every_ms;
 	uint32_t unresponsive_every_ms; /* for 1 to 8 s */
 	uint32_t crash_every_ms;	/* loses all runs */
+	uint32_t restart_every_ms;	/* that holds back starts on the way */
 	uint32_t rack_crash_every_ms;	/* of a rack at once */
 	uint32_t outage_every_ms;	/* of the store, for 1 to 4 s */
 	/* The capacity of a minion shrinks to 30 to 90%, for 1 to 8 s. */
--- a/tests/cellsim_test.cc
+++ b/tests/cellsim_test.cc
@@ -226,6 +226,22 @@
 	expect_invariants(r, s);
 }
 
+/*
+ * The same when minions restart under the same id, and starts that are on the
+ * way arrive in their next life.
+ */
+RC_GTEST_PROP(Cellsim, InvariantsHoldUnderRestartsUnderTheSameId, ())
+{
+	struct cellsim_settings s =
+		base_settings(*rc::gen::inRange(1, 1 << 30));
+	struct cellsim_result r;
+
+	s.restart_every_ms = *rc::gen::inRange(200, 2000);
+	s.restart_ms = *rc::gen::inRange(0, 1000);
+	cellsim_run(&s, &r);
+	expect_invariants(r, s);
+}
+
 /*
  * Guards against gangs that starve because smaller steps with slack left take
  * the capacity. 95% of the jobs of each class must meet their SLO.
