Acknowledge only ends that the latest report lists

A poll repeated the acknowledgement of the ends of a minion while later ones were not durable, as during an outage of the store, so that it could still reach the next life of the minion, which discarded its own ends of these numbers. It is sent if the latest report lists an end of that number, once.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -203,7 +203,7 @@
 	uint64_t record_seq;	   /* its latest record, but SETTLED */
 	uint64_t last_end_handled; /* highest end number applied */
 	uint64_t last_end_durable; /* highest end number made durable */
-	bool ends_listed;	   /* in the latest report */
+	uint64_t first_end;	   /* not known to be forgotten, 0: none */
 	double fail_score;
 	uint64_t suspect_until_ms;
 	uint64_t drain_ms;	    /* when draining began, 0: not draining */
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -831,7 +831,7 @@
 	m->anchor_ms = now_ms;
 	for (uint32_t i = 0; i < m->run_count; i++)
 		m->runs[i].in_report = false;
-	m->ends_listed = report->ended_count > 0;
+	m->first_end = report->ended_count ? report->ended[0].number : 0;
 	complete = handle_ends(cell, m, report, now_ms);
 	for (uint32_t i = 0; i < report->running_count; i++)
 		handle_running(cell, m, &report->running[i], now_ms);
--- a/lib/cell/poll.c
+++ b/lib/cell/poll.c
@@ -146,10 +146,10 @@
 		return true;
 	}
 	/* Sent once: another life has other ends of these numbers. */
-	if (m->ends_listed)
+	if (m->first_end && m->first_end <= m->last_end_durable) {
 		out->observed = m->last_end_durable;
-	if (m->last_end_durable == m->last_end_handled)
-		m->ends_listed = false;
+		m->first_end = m->last_end_durable + 1;
+	}
 	if (m->last_end_durable == m->last_end_handled && !m->poll_now)
 		out->wait_ms = cell_minion_poll_wait_ms(cell, m);
 	out->timeout_ms = out->wait_ms + POLL_TIMEOUT_MS;
