Acknowledge ends only while no other response of the minion is awaited

The first acknowledgement of ends, too, could reach the next life of a minion, if it was sent while the response to an earlier poll had not come as the minion had restarted: the next life then discarded its own ends of these numbers, and a task ran again after its end. It now waits for that response. The poll that is sent instead does not wait for an end, so that the acknowledgement follows at once.

The unit test failed before.

--- a/lib/cell/poll.c
+++ b/lib/cell/poll.c
@@ -120,6 +120,19 @@
 	cell->owner->ops->poll(cell->owner, m->handle);
 }
 
+/* Returns true if a response to another poll than the latest may arrive. */
+static bool awaits_other_poll(const struct cell_minion *m)
+{
+	for (uint32_t i = 0; i < CELL_POLLS_MAX; i++) {
+		const struct cell_open_poll *poll = &m->polls[i];
+
+		if (i != m->latest_poll && poll->open && poll->sent_ms &&
+		    !poll->overdue)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Fills in the next poll request for a minion, and renews its lease if the term
  * is valid, counted from the tick that found it valid: the process may have
@@ -130,6 +143,7 @@
 {
 	struct cell_minion *m = cell_minion_get(cell, minion, NULL);
 	struct cell_open_poll *poll;
+	bool unacked;
 
 	if (!m)
 		return false;
@@ -145,12 +159,18 @@
 		m->poll_now = false;
 		return true;
 	}
-	/* Sent once: another life has other ends of these numbers. */
-	if (m->first_end && m->first_end <= m->last_end_durable) {
+	/*
+	 * Sent once, and not while another response is awaited: another life
+	 * has other ends of these numbers.
+	 */
+	unacked = m->first_end && m->first_end <= m->last_end_durable;
+	if (unacked && !awaits_other_poll(m)) {
 		out->observed = m->last_end_durable;
 		m->first_end = m->last_end_durable + 1;
+		unacked = false;
 	}
-	if (m->last_end_durable == m->last_end_handled && !m->poll_now)
+	if (m->last_end_durable == m->last_end_handled && !m->poll_now &&
+	    !unacked)
 		out->wait_ms = cell_minion_poll_wait_ms(cell, m);
 	out->timeout_ms = out->wait_ms + POLL_TIMEOUT_MS;
 	poll->wait_ms = out->wait_ms;
--- a/tests/cellsim_test.cc
+++ b/tests/cellsim_test.cc
@@ -242,6 +242,21 @@
 	expect_invariants(r, s);
 }
 
+/* The same with takeovers and store outages. */
+RC_GTEST_PROP(Cellsim, InvariantsHoldUnderRestartsAndTakeovers, ())
+{
+	struct cellsim_settings s =
+		base_settings(*rc::gen::inRange(1, 1 << 30));
+	struct cellsim_result r;
+
+	s.restart_every_ms = *rc::gen::inRange(200, 2000);
+	s.restart_ms = *rc::gen::inRange(0, 1000);
+	s.takeover_every_ms = 4000;
+	s.outage_every_ms = 9000;
+	cellsim_run(&s, &r);
+	expect_invariants(r, s);
+}
+
 /*
  * Guards against gangs that starve because smaller steps with slack left take
  * the capacity. 95% of the jobs of each class must meet their SLO.
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -376,3 +376,41 @@
 	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &poll, f.now));
 	EXPECT_EQ(poll.observed, 0U);
 }
+
+TEST(Restart, EndsAreNotAcknowledgedWhileAnotherResponseIsAwaited)
+{
+	StartedTask f;
+	std::vector<End> ends;
+	struct cell_poll first;
+	struct cell_poll second;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	ends.push_back({ 1, "j.0.0.0", f.starts[0].run, CELL_END_FAILED, "" });
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run, CELL_OK,
+		      f.now);
+	f.tick(100);
+	f.report(f.minion, f.id, {}, ends);
+	f.tick(300);
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &first, f.now));
+	EXPECT_EQ(first.observed, 0U);
+	f.durable();
+	f.submit(CellFixture::job("k", "q", 14, 1000));
+	f.tick();
+	for (const Order &start : f.starts) {
+		if (start.task[0] == 'k' && start.minion == f.minion)
+			cell_on_start(f.cell, start.minion, start.task.c_str(),
+				      start.run, CELL_NO_ANSWER, f.now);
+	}
+	f.stopped(CELL_OK);
+	f.polls.clear();
+	f.tick(100);
+	ASSERT_EQ(std::count(f.polls.begin(), f.polls.end(), f.minion), 1);
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &second, f.now));
+	EXPECT_EQ(second.observed, 0U);
+	EXPECT_EQ(second.wait_ms, 0U);
+	f.report(f.minion, f.id, {}, ends, f.now - first.sent_ms);
+	f.report(f.minion, f.id, {}, ends, f.now - second.sent_ms);
+	f.tick(100);
+	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &second, f.now));
+	EXPECT_EQ(second.observed, 1U);
+}
