Count the lease that a late deadline of a former life gives the next one

Callers saw a task run twice: a minion restarted under the same id, and a poll of its former life arrived there. Its deadline is on the former clock, far ahead of the new one, and the minion shortens it to the longest lease that it accepts from then on. The minion was then cut off, and the holder, which counted its own shorter lease since its last poll, started the runs again while they went on.

Until 10 s after the latest deadline was sent to the former life, such a call may still arrive. The holder now counts the longest lease from then on, and knows its length from the configuration. The simulated minions shorten the deadline of a start as well, not only that of a poll.

The test failed before: the minion was settled while its lease could last.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -754,6 +754,17 @@
 	event_push(s, &crash, draw_around(s, s->settings->crash_after_ms));
 }
 
+static void extend_lease(const struct cellsim *s, struct sim_minion *m,
+			 uint64_t deadline_ms)
+{
+	uint64_t latest_ms = clock_of(s, m) + MINION_LEASE_MAX_MS;
+
+	if (deadline_ms > latest_ms)
+		deadline_ms = latest_ms;
+	if (deadline_ms > m->lease_ms)
+		m->lease_ms = deadline_ms;
+}
+
 static enum cell_result accept_start(struct cellsim *s, const struct event *e)
 {
 	struct sim_minion *m = &s->minions[e->minion];
@@ -772,8 +783,7 @@
 		return CELL_REJECTED_OLD;
 	if (clock_of(s, m) > e->deadline_ms)
 		return CELL_REJECTED_LATE;
-	if (e->deadline_ms > m->lease_ms)
-		m->lease_ms = e->deadline_ms;
+	extend_lease(s, m, e->deadline_ms);
 	check_start(s, job, task, e);
 	m->runs = xrealloc(m->runs, (m->run_count + 1) * sizeof(*m->runs));
 	run = &m->runs[m->run_count++];
@@ -894,10 +904,7 @@
 		return;
 	}
 	m->token = e->token;
-	if (e->deadline_ms > m->lease_ms)
-		m->lease_ms = e->deadline_ms;
-	if (m->lease_ms > clock_of(s, m) + MINION_LEASE_MAX_MS)
-		m->lease_ms = clock_of(s, m) + MINION_LEASE_MAX_MS;
+	extend_lease(s, m, e->deadline_ms);
 	for (uint32_t i = 0; i < m->end_count; i++) {
 		if (m->ends[i].number > e->observed)
 			m->ends[kept++] = m->ends[i];
@@ -1110,6 +1117,7 @@
 {
 	struct cell_settings settings = { .token = ++s->token,
 					  .lease_ms = LEASE_MS,
+					  .hold_max_ms = MINION_LEASE_MAX_MS,
 					  .poll_wait_ms = 1500,
 					  .predecessor_lease_ms =
 						  PREDECESSOR_LEASE_MS,
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -371,6 +371,7 @@
 	struct cell_settings settings = {
 		.token = token,
 		.lease_ms = d->conf.lease_ms,
+		.hold_max_ms = d->conf.hold_max_ms,
 		.poll_wait_ms = POLL_WAIT_MS,
 		/* Minion clocks may run slow by 2%. */
 		.predecessor_lease_ms =
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -118,6 +118,8 @@
 	UT_hash_handle hh;
 };
 
+/* How long an order without a response may still be carried out, in ms. */
+#define CELL_LATE_ORDER_MS 10000
 /* Pace of a run, in percent of its full speed. */
 #define CELL_PACE_FULL 100
 #define CELL_PACE_UNKNOWN 255
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -188,16 +188,20 @@
 	return m->anchor_clock_ms + (now_ms - m->anchor_ms);
 }
 
+/* Returns how long a span of the clock of a minion may last, with a margin. */
+static uint64_t slow_clock_ms(uint64_t span)
+{
+	return span + span * CLOCK_DRIFT_PERCENT / (100 - CLOCK_DRIFT_PERCENT) +
+	       LEASE_MARGIN_MS;
+}
+
 /* Renews the lease of the minion; returns the expiry on the minion's clock. */
 uint64_t cell_minion_renew_lease(struct cell *cell, struct cell_minion *m,
 				 uint64_t now_ms)
 {
 	uint64_t deadline = minion_clock(m, now_ms) + cell->settings.lease_ms;
 	uint64_t span = deadline - m->anchor_clock_ms;
-	uint64_t until =
-		m->anchor_ms + span +
-		span * CLOCK_DRIFT_PERCENT / (100 - CLOCK_DRIFT_PERCENT) +
-		LEASE_MARGIN_MS;
+	uint64_t until = m->anchor_ms + slow_clock_ms(span);
 
 	if (until > m->lease_until_ms)
 		m->lease_until_ms = until;
@@ -404,6 +408,23 @@
 	       (m->addr_ms && sent_ms <= m->addr_ms);
 }
 
+/*
+ * Counts the longest lease of a new life: a deadline that was sent to a former
+ * one and arrives late is far ahead of its clock.
+ */
+static void count_former_deadline(const struct cell *cell,
+				  struct cell_minion *m)
+{
+	uint64_t until;
+
+	if (!m->deadline_sent_ms)
+		return;
+	until = m->deadline_sent_ms + CELL_LATE_ORDER_MS +
+		slow_clock_ms(cell->settings.hold_max_ms);
+	if (until > m->lease_until_ms)
+		m->lease_until_ms = until;
+}
+
 static void minion_update_info(struct cell *cell, struct cell_minion *m,
 			       const struct cell_minion_info *info,
 			       uint64_t now_ms)
@@ -815,6 +836,7 @@
 		set_failing(m, false, now_ms);
 		cell_minion_blame(cell, m, now_ms);
 		minion_settle(cell, m, "another life", sent_ms, now_ms);
+		count_former_deadline(cell, m);
 	} else if (m->failing) {
 		log_back(cell, m, now_ms);
 		cell_minion_clear_runs(cell, m, now_ms);
--- a/lib/cell/unanswered.c
+++ b/lib/cell/unanswered.c
@@ -9,9 +9,6 @@
 
 #include "cell/cell_int.h"
 
-/* How long an order without a response may still be carried out, in ms. */
-#define LATE_ORDER_MS 10000
-
 /*
  * Returns true if the run may be in a life of its minion of which a report was
  * requested at @sent_ms and does not show it: an earlier life had not
@@ -59,7 +56,7 @@
 	while (i < m->unanswered_count) {
 		struct cell_run *run = &m->unanswered[i];
 
-		if (now_ms > run->sent_ms + LATE_ORDER_MS)
+		if (now_ms > run->sent_ms + CELL_LATE_ORDER_MS)
 			cell_unanswered_remove(m, run);
 		else
 			i++;
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -141,6 +141,7 @@
 		owner.ops = &ops;
 		settings.token = token;
 		settings.lease_ms = 5500;
+		settings.hold_max_ms = 6000;
 		settings.poll_wait_ms = 1500;
 		settings.predecessor_lease_ms = 7300;
 		settings.ended_job_ttl_ms = 120000;
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -414,3 +414,35 @@
 	ASSERT_TRUE(cell_poll_request(f.cell, f.minion, &second, f.now));
 	EXPECT_EQ(second.observed, 1U);
 }
+
+TEST(Restart, LateDeadlineOfAFormerLifeMayExtendTheLeaseOfTheNext)
+{
+	CellFixture f;
+	uint64_t sent_ms;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	sent_ms = f.now;
+	f.tick(100);
+	cell_on_start(f.cell, 0, "j.0.0.0", f.starts[0].run, CELL_OK, f.now);
+	f.tick(100);
+	f.born_unix_ms = 2;
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.tick(100);
+	ASSERT_EQ(f.starts.size(), 2U);
+	cell_on_start(f.cell, 0, "j.0.0.0", f.starts[1].run, CELL_OK, f.now);
+	f.settled.clear();
+	while (f.now < sent_ms + 10000 + 6000) {
+		f.tick(100);
+		cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now,
+				    f.now);
+	}
+	EXPECT_TRUE(f.settled.empty());
+	f.tick(1000);
+	EXPECT_EQ(f.settled.size(), 1U);
+}
