--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -372,6 +372,7 @@
 	struct cell_settings settings = {
 		.token = token,
 		.lease_ms = leases.own_ms,
+		.hold_max_ms = d->conf.hold_max_ms,
 		.poll_wait_ms = POLL_WAIT_MS,
 		.predecessor_lease_ms =
 			(uint32_t)term_predecessor_wait_ms(leases.earlier_ms),
--- a/tests/cellsim_test.cc
+++ b/tests/cellsim_test.cc
@@ -226,6 +226,37 @@
 	expect_invariants(r, s);
 }
 
+/*
+ * The same when minions restart under the same id, and starts that are on the
+ * way arrive in their next life.
+ */
+RC_GTEST_PROP(Cellsim, InvariantsHoldUnderRestartsUnderTheSameId, ())
+{
+	struct cellsim_settings s =
+		base_settings(*rc::gen::inRange(1, 1 << 30));
+	struct cellsim_result r;
+
+	s.restart_every_ms = *rc::gen::inRange(200, 2000);
+	s.restart_ms = *rc::gen::inRange(0, 1000);
+	cellsim_run(&s, &r);
+	expect_invariants(r, s);
+}
+
+/* The same with takeovers and store outages. */
+RC_GTEST_PROP(Cellsim, InvariantsHoldUnderRestartsAndTakeovers, ())
+{
+	struct cellsim_settings s =
+		base_settings(*rc::gen::inRange(1, 1 << 30));
+	struct cellsim_result r;
+
+	s.restart_every_ms = *rc::gen::inRange(200, 2000);
+	s.restart_ms = *rc::gen::inRange(0, 1000);
+	s.takeover_every_ms = 4000;
+	s.outage_every_ms = 9000;
+	cellsim_run(&s, &r);
+	expect_invariants(r, s);
+}
+
 /*
  * The same when the links of a zone are late, and guards against starts after
  * an end that its minion has listed, whoever read the response.
