Let a larger daemon take over from a small holder

Cause: a daemon of 0.12 cores whose link has 10 Mbit/s was the first to claim while the larger ones were cut off or down, and kept the term. So the members of a gang start seconds apart, and polls, renewals and calls to the store come late.

Change: followers say in their state frames whether they have 0.2 cores or more and reach the store. A holder with less offers its term once its recovery is complete and such a follower is connected: it releases the term as on a stop, and goes on until the other has claimed. It offers again after 5 s if none did. Daemons of the previous build say nothing of the kind and are offered nothing.

Evidence: Terms.SmallHolderOffersItsTermToALargerDaemon fails without the offer.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -146,6 +146,7 @@
 			       const struct cell_advice_request *q);
 void links_send_release(struct links *links);
 uint32_t links_followers(const struct links *links);
+bool links_larger_followers(const struct links *links, uint64_t term);
 uint32_t links_lost_followers(const struct links *links, uint64_t at_ms);
 uint32_t links_missing(const struct links *links, uint64_t store_ms);
 bool links_alone(const struct links *links);
@@ -168,6 +169,7 @@
 void terms_on_confirmed(struct terms *terms, uint64_t sent_ms);
 uint64_t terms_store_ms(const struct terms *terms);
 void terms_release(struct terms *terms);
+bool terms_should_lead(const struct terms *terms, uint64_t now_ms);
 bool terms_valid(const struct terms *terms, uint64_t now_ms);
 bool terms_check(struct terms *terms, uint64_t now_ms);
 uint64_t terms_confirmed_ms(const struct terms *terms);
--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -53,6 +53,7 @@
 	bool was_listed; /* before the present list */
 	uint32_t generation;
 	uint64_t term;	  /* latest term known to it */
+	bool larger;	  /* it should lead rather than a small daemon */
 	uint64_t echo_ms; /* latest state frame that it has acknowledged */
 };
 
@@ -114,10 +115,10 @@
 }
 
 /*
- * Sends a state frame; @valid is that of the term of this daemon, if any. To a
- * follower it carries the clock of this daemon, which the follower returns. So
- * a frame of a follower shows which terms it knew of after that time, however
- * long either frame waited.
+ * Sends a state frame. That of a follower tells if it should lead, that of a
+ * holder if its term is valid, as in @valid. To a follower it carries the clock
+ * of this daemon, which the follower returns. So a frame of a follower shows
+ * which terms it knew of after that time, however long either frame waited.
  */
 static void send_state(struct links *l, struct link *link, bool valid,
 		       bool released, uint64_t now)
@@ -134,7 +135,9 @@
 		msgpack_pack_uint64(&pk, terms_token(l->d->terms));
 		msgpack_pack_uint64(&pk, now);
 	}
-	msgpack_pack_uint32(&pk, valid);
+	msgpack_pack_uint32(&pk, link->dialled
+					 ? terms_should_lead(l->d->terms, now)
+					 : valid);
 	msgpack_pack_uint32(&pk, store_age(l, now));
 	msgpack_pack_uint32(&pk, released);
 	send_body(link, FRAME_STATE, &body);
@@ -180,6 +183,22 @@
 	return n;
 }
 
+/*
+ * Returns true if a follower that knows @term, and none after it, should lead
+ * rather than a small daemon.
+ */
+bool links_larger_followers(const struct links *l, uint64_t term)
+{
+	bool found = false;
+
+	for (uint32_t i = 0; i < l->follower_count && !found; i++) {
+		const struct follower *f = &l->followers[i];
+
+		found = f->link && f->larger && f->term == term;
+	}
+	return found;
+}
+
 /* Sends a request to the holder; returns false if there is no connection. */
 bool links_send_query(struct links *l, uint32_t ref, enum cd_op op,
 		      const char *text, const struct buf *blob)
@@ -282,9 +301,12 @@
 {
 	struct follower *follower = &l->followers[(link->handle & 0xffff) - 1];
 	uint64_t echo_ms;
+	uint32_t larger;
 
-	if (!mp_get_u64(&f[0], &echo_ms) || !mp_get_u64(&f[1], &follower->term))
+	if (!mp_get_u64(&f[0], &echo_ms) ||
+	    !mp_get_u64(&f[1], &follower->term) || !mp_get_u32(&f[2], &larger))
 		return false;
+	follower->larger = larger;
 	/* A daemon that returns no clock acknowledges nothing. */
 	follower->echo_ms = echo_ms <= loop_now_ms() ? echo_ms : 0;
 	return true;
@@ -763,6 +785,7 @@
 		 link->peer.id);
 	l->followers[i].term = 0;
 	l->followers[i].echo_ms = 0;
+	l->followers[i].larger = false;
 	if (!strcmp(l->former_addr, link->peer.addr))
 		l->former_addr[0] = '\0';
 	link->handle = l->followers[i].generation << 16 | (i + 1);
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -93,6 +93,7 @@
 	uint64_t entered_ms; /* this daemon saw its own entry, 0: none */
 	uint64_t daemons_ms; /* when it is compared next */
 	uint64_t started_ms; /* of this process */
+	uint64_t offered_ms; /* when this term was last offered, 0: never */
 	uint64_t lease_id;
 	uint32_t lease_ttl_ms; /* as requested for lease_id */
 	bool renewing;
@@ -278,6 +279,7 @@
 	t->lease_id = 0;
 	t->renew_ms = 0;
 	t->claim_due_ms = 0;
+	t->offered_ms = 0;
 	t->daemons_ms = t->began_ms + (t->daemons_revision ? DAEMONS_INTERVAL_MS
 							   : FIRST_DAEMONS_MS);
 	links_expect(t->d->links, t->former,
@@ -531,12 +533,24 @@
 	pf_commit(t->d->store, &txn, CALL_TIMEOUT_MS, on_entered, t);
 }
 
+static bool is_small(const struct terms *t)
+{
+	return t->d->conf.cpu_share < SMALL_CPU_SHARE;
+}
+
+/* Returns true if this daemon should be the holder rather than a small one. */
+bool terms_should_lead(const struct terms *t, uint64_t now_ms)
+{
+	return !is_small(t) && !t->d->draining && t->loaded &&
+	       store_healthy(t, now_ms) && config_current(t->d->config);
+}
+
 static uint64_t claim_delay(const struct terms *t, uint64_t now)
 {
 	unsigned char random = 0;
 	uint64_t delay = 0;
 
-	if (t->d->conf.cpu_share < SMALL_CPU_SHARE)
+	if (is_small(t))
 		delay += now < t->started_ms + BOOT_MS ? SMALL_BOOT_DELAY_MS
 						       : SMALL_DELAY_MS;
 	if (t->store_rtt_ms > FAR_RTT_MS)
@@ -725,6 +739,26 @@
 	pf_commit(t->d->store, &txn, CALL_TIMEOUT_MS, on_daemons_written, t);
 }
 
+static void release(struct terms *t);
+
+/* Offers the term of a small holder to the larger daemons. */
+static void offer_term(struct terms *t, uint64_t now)
+{
+	struct term_means means = {
+		.small = is_small(t),
+		.ready = t->d->holder && holder_ready(t->d->holder),
+		.draining = t->d->draining,
+		.larger = links_larger_followers(t->d->links, t->token),
+		.asked_ms = t->offered_ms,
+	};
+
+	if (!term_should_hand_over(&means, now))
+		return;
+	ev("term-offered", "token=%llu", (unsigned long long)t->token);
+	t->offered_ms = now;
+	release(t);
+}
+
 static void maintain_term(struct terms *t, uint64_t now)
 {
 	uint32_t ttl_ms = t->d->holder && holder_settled(t->d->holder, now)
@@ -746,6 +780,7 @@
 	}
 	list_daemons(t, now);
 	confirm_daemons(t, now);
+	offer_term(t, now);
 	if (!t->confirming && is_confirmation_due(t, now)) {
 		t->confirming = true;
 		t->confirm_sent_ms = now;
@@ -760,18 +795,24 @@
 	(void)reply;
 }
 
-/* Releases the term, so that a follower takes over without a timeout. */
-void terms_release(struct terms *t)
+/* Lets a follower take over at once; this daemon goes on until one does. */
+static void release(struct terms *t)
 {
 	struct pf_txn txn = { .condition_count = 1, .delete_count = 1 };
 
-	if (!t->token)
-		return;
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = t->token };
 	txn.deletes[0] = CD_LIVE_KEY;
 	links_send_release(t->d->links);
 	pf_commit(t->d->store, &txn, CALL_TIMEOUT_MS, on_release_written, t);
+}
+
+/* Releases the term, so that a follower takes over without a timeout. */
+void terms_release(struct terms *t)
+{
+	if (!t->token)
+		return;
+	release(t);
 	t->renew_ms = UINT64_MAX;
 }
 
--- a/lib/cell/term.c
+++ b/lib/cell/term.c
@@ -20,6 +20,8 @@
  * of its claim, in ms: it must confirm its term every CONFIRMATION_MAX_AGE_MS.
  */
 #define PREDECESSOR_VALID_MS 1700
+/* Interval at which a small holder offers its term to larger daemons, in ms. */
+#define HAND_OVER_INTERVAL_MS 5000
 /* Time in which all daemons connect to a new holder, in ms. */
 #define CONNECT_MS 2000
 /*
@@ -73,6 +75,19 @@
 	return now_ms < confirmed_ms + CONFIRMATION_MAX_AGE_MS;
 }
 
+/*
+ * Returns true if the holder should let a larger daemon take over. All orders
+ * go through the link of the holder, and a small daemon has a small one: under
+ * the load of a large cell it is full, and every call is late.
+ */
+bool term_should_hand_over(const struct term_means *means, uint64_t now_ms)
+{
+	return means->small && means->ready && !means->draining &&
+	       means->larger &&
+	       (!means->asked_ms ||
+		now_ms >= means->asked_ms + HAND_OVER_INTERVAL_MS);
+}
+
 /*
  * Returns the latest time as of which the term is confirmed: no daemon had
  * learned of a later one. The store shows it by serving a call under the
--- a/lib/cell/term.h
+++ b/lib/cell/term.h
@@ -40,6 +40,16 @@
 	bool alone;		  /* no other daemon has ever been known */
 };
 
+/* A holder, and the daemons that could take its place. */
+struct term_means {
+	bool small;    /* the holder has a small share of a processor */
+	bool ready;    /* its recovery is complete */
+	bool draining; /* it is being stopped, and has released its term */
+	bool larger;   /* a larger daemon that reaches the store is connected */
+	uint64_t asked_ms; /* when it last offered its term, 0: never */
+};
+
+bool term_should_hand_over(const struct term_means *means, uint64_t now_ms);
 uint64_t term_confirmed_ms(const struct term_evidence *e, uint64_t now_ms);
 bool term_valid(uint64_t confirmed_ms, uint64_t now_ms);
 
--- a/tests/links_test.cc
+++ b/tests/links_test.cc
@@ -119,10 +119,13 @@
 void pf_commit(struct pf_store *store, const struct pf_txn *txn, uint32_t,
 	       pf_done done, void *ctx)
 {
-	std::string value(static_cast<const char *>(txn->puts[0].value),
-			  txn->puts[0].len);
 	enum pf_status status = PF_OK;
+	std::string value;
 
+	if (!txn->put_count)
+		return;
+	value.assign(static_cast<const char *>(txn->puts[0].value),
+		     txn->puts[0].len);
 	if (!strcmp(txn->puts[0].key, CD_DAEMONS_KEY)) {
 		for (uint32_t i = 0; i < txn->condition_count; i++) {
 			if (!strcmp(txn->conditions[i].key, CD_DAEMONS_KEY) &&
@@ -203,6 +206,11 @@
 	return true;
 }
 
+bool holder_ready(const struct holder *)
+{
+	return true;
+}
+
 void holder_job(struct holder *, const char *, size_t, bool)
 {
 }
@@ -852,3 +860,22 @@
 	ASSERT_EQ(terms_token(holder->d.terms), (uint64_t)TERM);
 	EXPECT_GT(links_missing(holder->d.links, UINT64_MAX - 20000), 512U);
 }
+
+/* Guards against a term that is offered to a daemon that cannot claim it. */
+TEST(Links, HolderKnowsLargerFollowersThatReachTheStore)
+{
+	CellOfThree c;
+
+	EXPECT_TRUE(links_larger_followers(c.holder->d.links, TERM));
+	EXPECT_FALSE(links_larger_followers(c.holder->d.links, TERM + 1));
+	c.second->store_serves = false;
+	c.third->d.conf.cpu_share = 0.12;
+	c.run(1000);
+	EXPECT_FALSE(links_larger_followers(c.holder->d.links, TERM));
+	c.second->store_serves = true;
+	c.run(1000);
+	EXPECT_TRUE(links_larger_followers(c.holder->d.links, TERM));
+	c.second->running = false;
+	c.run(3000);
+	EXPECT_FALSE(links_larger_followers(c.holder->d.links, TERM));
+}
--- a/tests/terms_test.cc
+++ b/tests/terms_test.cc
@@ -24,6 +24,9 @@
 std::vector<Call> grants;
 std::vector<uint32_t> ttls; /* of the leases requested */
 bool settled;		    /* answer of holder_settled() */
+bool ready;		    /* answer of holder_ready() */
+bool larger;		    /* answer of links_larger_followers() */
+uint32_t released;	    /* calls of links_send_release() */
 struct cell_config config;
 /* Keeps objects that are never freed reachable, for the leak checker. */
 std::vector<void *> &kept = *new std::vector<void *>;
@@ -51,7 +54,7 @@
 void pf_commit(struct pf_store *, const struct pf_txn *txn, uint32_t,
 	       pf_done done, void *ctx)
 {
-	if (!strcmp(txn->puts[0].key, CD_DAEMONS_KEY))
+	if (!txn->put_count || !strcmp(txn->puts[0].key, CD_DAEMONS_KEY))
 		return;
 	claimed.assign(static_cast<const char *>(txn->puts[0].value),
 		       txn->puts[0].len);
@@ -108,6 +111,17 @@
 
 void links_send_release(struct links *)
 {
+	released++;
+}
+
+bool links_larger_followers(const struct links *, uint64_t)
+{
+	return larger;
+}
+
+bool holder_ready(const struct holder *)
+{
+	return ready;
 }
 
 bool holder_settled(const struct holder *, uint64_t)
@@ -359,3 +373,58 @@
 			<< claimed;
 	}
 }
+
+/*
+ * Guards against a small daemon that stays the holder of a large cell: with its
+ * link full, starts and polls of most minions were seconds late.
+ */
+TEST(Terms, SmallHolderOffersItsTermToALargerDaemon)
+{
+	static struct celld small;
+	struct terms *terms = start_terms(&small, "small", 0.12);
+	uint64_t now = loop_now_ms();
+
+	released = 0;
+	terms_tick(terms, now);
+	terms_tick(terms, now + 1000);
+	ASSERT_EQ(commits.size(), 1U);
+	answer(commits[0], 7, "");
+	ASSERT_EQ(terms_token(terms), 7U);
+	small.holder = reinterpret_cast<struct holder *>(&small);
+	ready = false;
+	larger = true;
+	terms_tick(terms, now + 1100);
+	EXPECT_EQ(released, 0U);
+	ready = true;
+	larger = false;
+	terms_tick(terms, now + 1200);
+	EXPECT_EQ(released, 0U);
+	larger = true;
+	terms_tick(terms, now + 1300);
+	EXPECT_EQ(released, 1U);
+	/* It goes on until another daemon takes over. */
+	EXPECT_EQ(terms_token(terms), 7U);
+	terms_tick(terms, now + 1400);
+	EXPECT_EQ(released, 1U);
+	terms_tick(terms, now + 6400);
+	EXPECT_EQ(released, 2U);
+}
+
+TEST(Terms, LargeHolderKeepsItsTerm)
+{
+	static struct celld large;
+	struct terms *terms = start_terms(&large, "large", 0.5);
+	uint64_t now = loop_now_ms();
+
+	released = 0;
+	terms_tick(terms, now);
+	terms_tick(terms, now + 1000);
+	ASSERT_EQ(commits.size(), 1U);
+	answer(commits[0], 7, "");
+	large.holder = reinterpret_cast<struct holder *>(&large);
+	ready = true;
+	larger = true;
+	terms_tick(terms, now + 1300);
+	EXPECT_EQ(terms_token(terms), 7U);
+	EXPECT_EQ(released, 0U);
+}
