soak: faults of zones, in a cell of up to 352 minions

The soak cut the daemons and minions in two fixed groups, each with proxy ports of its own. The record of the operators has zones and regions that are cut off, together with the holder and its minions.

The preloaded library now connects from an address of the zone of its daemon, so that one port for each target is enough for any number of zones, and the proxy selects the route by zone and target. With three zones or more the soak also cuts off the zone of the holder or a region, one way or both, lets a zone stand still, makes its links late, restarts minions under their ids and lets former holders come back.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -14,7 +14,10 @@
 
 #define JOBS_MAX 8192
 #define SUBMIT_INTERVAL_MS 180 /* between two submissions */
-#define STATE_POLL_MS 600      /* between two state polls of a job */
+/* With zones the jobs are as many for each minion, with a shortest interval. */
+#define SUBMIT_INTERVAL_MIN_MS 30
+#define SUBMIT_MINION_INTERVAL_MS 1440
+#define STATE_POLL_MS 600 /* between two state polls of a job */
 #define ENDED_POLL_MS 4000
 #define PROBE_INTERVAL_MS 150 /* between two configuration probes */
 #define DEADLINE_MS 3000
@@ -32,7 +35,7 @@
 #define STEPS_MAX 2
 #define CANCEL_ONE_IN 12 /* average number of jobs per cancel */
 #define FAIL_ONE_IN 25
-#define CRASH_ONE_IN 61
+#define CRASH_ONE_IN 61 /* at SUBMIT_INTERVAL_MS, as often with more jobs */
 #define CRASH_AFTER_MS 30
 #define GANG_ONE_IN 4
 /* Some tasks, of little CPU, run on while minions are cut off. */
@@ -337,10 +340,23 @@
 	}
 }
 
+/* Returns the time between two submissions. */
+static uint32_t submit_interval(const struct soak_options *o)
+{
+	uint32_t interval = SUBMIT_MINION_INTERVAL_MS / o->minions;
+
+	if (o->zones == 2)
+		return SUBMIT_INTERVAL_MS;
+	return interval < SUBMIT_INTERVAL_MIN_MS ? SUBMIT_INTERVAL_MIN_MS
+						 : interval;
+}
+
 static void add_job(struct callers *c, uint64_t now)
 {
 	struct soak *s = c->s;
 	struct job *job = &c->jobs[c->count];
+	uint32_t crash_one_in = CRASH_ONE_IN * SUBMIT_INTERVAL_MS /
+				submit_interval(&s->options);
 
 	*job = (struct job){
 		.quick = soak_random(s, 2),
@@ -354,7 +370,7 @@
 	if (!soak_random(s, CANCEL_ONE_IN))
 		job->cancel_at_ms = now + soak_random(s, 3000);
 	/* No number is drawn, so that seeds play the same faults as before. */
-	job->crashes = c->count % CRASH_ONE_IN == CRASH_ONE_IN - 1;
+	job->crashes = c->count % crash_one_in == crash_one_in - 1;
 	if (!s->options.basic && c->count % LONG_ONE_IN == LONG_ONE_IN - 1) {
 		job->run_ms *= LONG_FACTOR;
 		job->cpu = LONG_CPU;
@@ -381,7 +397,7 @@
 {
 	if (c->submitting && now_ms >= c->next_submit_ms &&
 	    c->count < JOBS_MAX) {
-		c->next_submit_ms = now_ms + SUBMIT_INTERVAL_MS;
+		c->next_submit_ms = now_ms + submit_interval(&c->s->options);
 		add_job(c, now_ms);
 	}
 	if (now_ms >= c->next_probe_ms) {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -59,18 +59,18 @@
 }
 
 /*
- * Half of the daemons and half of the minions are in the second group. Its
- * daemons have proxies of their own to each minion and each other daemon, so
- * that the groups can be cut off from each other.
+ * Returns the zone of a daemon. The daemons of a zone have routes of their own
+ * to each minion and each daemon, so that zones can be cut off from each other.
  */
-bool soak_daemon_in_group_2(uint32_t daemon)
+uint32_t soak_daemon_zone(const struct soak *s, uint32_t daemon)
 {
-	return daemon % 2;
+	return daemon % s->options.zones;
 }
 
-bool soak_minion_in_group_2(uint32_t minion)
+/* Returns the zone of a minion, see soak_daemon_zone(). */
+uint32_t soak_minion_zone(const struct soak *s, uint32_t minion)
 {
-	return minion / 2 % 2;
+	return minion / 2 % s->options.zones;
 }
 
 /* Returns a pseudo-random number below @below. */
@@ -272,18 +272,7 @@
 			      base + 3 + i, err) == UINT32_MAX)
 			return false;
 	}
-	for (uint32_t i = 0; i < s->options.daemons; i++) {
-		if (proxy_add(s->proxy,
-			      soak_daemon_port(s, i, DAEMON_PEERS_PROXY_2),
-			      soak_daemon_port(s, i, DAEMON_PEERS),
-			      err) == UINT32_MAX)
-			return false;
-	}
-	for (uint32_t i = 0; i < s->options.minions; i++) {
-		if (proxy_add(s->proxy, base + PORT_MINION_PROXY_2 + i,
-			      base + 3 + i, err) == UINT32_MAX)
-			return false;
-	}
+	plan_add_routes(s->plan);
 	return proxy_start(s->proxy, err);
 }
 
@@ -338,8 +327,12 @@
 		arg_int0(NULL, "daemons", "N", "number of daemons (4)");
 	struct arg_int *minions =
 		arg_int0(NULL, "minions", "N", "number of minions (8)");
+	struct arg_int *zones =
+		arg_int0(NULL, "zones", "N",
+			 "number of zones (2), with 3 or more also "
+			 "faults of zones");
 	struct arg_int *port =
-		arg_int0("p", "base-port", "N", "first of 800 ports (20000)");
+		arg_int0("p", "base-port", "N", "first of 1200 ports (20000)");
 	struct arg_lit *basic =
 		arg_lit0(NULL, "basic", "single faults only, no series");
 	struct arg_str *build =
@@ -347,8 +340,8 @@
 	struct arg_str *dir =
 		arg_str1("d", "dir", "DIR", "directory of settings and logs");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { seed,	 seconds, daemons, minions, port,
-			  basic, build,	  dir,	   end };
+	void *table[] = { seed, seconds, daemons, minions, zones,
+			  port, basic,	 build,	  dir,	   end };
 	struct soak_options options;
 
 	if (arg_parse(argc, argv, table)) {
@@ -364,14 +357,17 @@
 		.seconds = (uint32_t)int_option(seconds, 20),
 		.daemons = (uint32_t)int_option(daemons, 4),
 		.minions = (uint32_t)int_option(minions, 8),
+		.zones = (uint32_t)int_option(zones, 2),
 		.base_port = (uint32_t)int_option(port, 20000),
 		.basic = basic->count,
 	};
 	if (!options.daemons || options.daemons > SOAK_DAEMONS_MAX ||
-	    !options.minions || options.minions > SOAK_MINIONS_MAX) {
+	    !options.minions || options.minions > SOAK_MINIONS_MAX ||
+	    options.zones < 2 || options.zones > SOAK_ZONES_MAX) {
 		fprintf(stderr,
-			"soak: expected 1 to %d daemons and 1 to %d minions\n",
-			SOAK_DAEMONS_MAX, SOAK_MINIONS_MAX);
+			"soak: expected 1 to %d daemons, 1 to %d minions and "
+			"2 to %d zones\n",
+			SOAK_DAEMONS_MAX, SOAK_MINIONS_MAX, SOAK_ZONES_MAX);
 		return EXIT_USAGE;
 	}
 	mkdir(options.dir, 0700);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -31,6 +31,18 @@
 #define LATER_MAX 64
 #define PAUSE_MIN_MS 2000
 #define PAUSE_MAX_MS 6000
+/* Faults of zones. */
+#define ZONE_FAULT_MIN_MS 1500
+#define ZONE_FAULT_MAX_MS 12000
+#define ZONE_DELAY_MIN_MS 100 /* each way */
+#define ZONE_DELAY_MAX_MS 600
+/* Minions that restart: in this many rounds, each for up to DOWN_MAX_MS. */
+#define RESTART_ROUNDS 6
+#define RESTART_SPREAD_MS 3000
+#define RESTART_DOWN_MAX_MS 1500
+/* A former holder comes back within this time after it was replaced. */
+#define COME_BACK_MIN_MS 2500
+#define COME_BACK_SPREAD_MS 4000
 
 struct plan;
 
@@ -53,6 +65,8 @@
 	struct later later[LATER_MAX];
 	bool chosen[SOAK_MINIONS_MAX]; /* by the latest series */
 	uint64_t chosen_until_ms;      /* end of their cut */
+	uint32_t zone;		       /* of the latest fault of a zone */
+	uint32_t former;	       /* holder before the latest series */
 };
 
 struct action {
@@ -63,7 +77,7 @@
 
 /*
  * Order of the routes: DAEMON_ROUTES for each daemon, then the minions. Then
- * those of the second group of daemons, to each daemon and each minion.
+ * for each zone but the first those to each daemon and each minion.
  */
 enum daemon_route { ROUTE_PEERS, ROUTE_STORE, ROUTE_ADVICE, DAEMON_ROUTES };
 
@@ -94,14 +108,45 @@
 	return p->s->options.daemons * DAEMON_ROUTES + minion;
 }
 
-static uint32_t peers_route_2(const struct plan *p, uint32_t daemon)
+/* Returns the first of the routes that callers in @zone have of their own. */
+static uint32_t zone_routes(const struct plan *p, uint32_t zone)
 {
-	return minion_route_index(p, p->s->options.minions) + daemon;
+	const struct soak_options *o = &p->s->options;
+
+	return minion_route_index(p, o->minions) +
+	       (zone - 1) * (o->daemons + o->minions);
+}
+
+/* Returns the route of the callers in @zone to a daemon. */
+static uint32_t peers_route(const struct plan *p, uint32_t zone,
+			    uint32_t daemon)
+{
+	return zone ? zone_routes(p, zone) + daemon
+		    : daemon_route_index(daemon, ROUTE_PEERS);
 }
 
-static uint32_t minion_route_2(const struct plan *p, uint32_t minion)
+/* Returns the route of the callers in @zone to a minion. */
+static uint32_t minion_route(const struct plan *p, uint32_t zone,
+			     uint32_t minion)
 {
-	return peers_route_2(p, p->s->options.daemons) + minion;
+	return zone ? zone_routes(p, zone) + p->s->options.daemons + minion
+		    : minion_route_index(p, minion);
+}
+
+/* Adds the routes of the zones to the proxy, see zone_routes(). */
+void plan_add_routes(struct plan *p)
+{
+	const struct soak_options *o = &p->s->options;
+
+	for (uint32_t zone = 1; zone < o->zones; zone++) {
+		for (uint32_t i = 0; i < o->daemons; i++)
+			proxy_add_zone(p->s->proxy,
+				       daemon_route_index(i, ROUTE_PEERS),
+				       zone);
+		for (uint32_t i = 0; i < o->minions; i++)
+			proxy_add_zone(p->s->proxy, minion_route_index(p, i),
+				       zone);
+	}
 }
 
 /* Sets a fault that ends after @for_ms; it replaces one of the same route. */
@@ -112,20 +157,20 @@
 	p->until_ms[route] = loop_now_ms() + for_ms;
 }
 
-/* As inject(), for the routes of both groups to a minion. */
+/* As inject(), for the routes of all zones to a minion. */
 static void inject_minion(struct plan *p, uint32_t minion,
 			  const struct proxy_fault *fault, uint32_t for_ms)
 {
-	inject(p, minion_route_index(p, minion), fault, for_ms);
-	inject(p, minion_route_2(p, minion), fault, for_ms);
+	for (uint32_t zone = 0; zone < p->s->options.zones; zone++)
+		inject(p, minion_route(p, zone, minion), fault, for_ms);
 }
 
-/* As inject(), for the routes of both groups to a daemon. */
+/* As inject(), for the routes of all zones to a daemon. */
 static void inject_peers(struct plan *p, uint32_t daemon,
 			 const struct proxy_fault *fault, uint32_t for_ms)
 {
-	inject(p, daemon_route_index(daemon, ROUTE_PEERS), fault, for_ms);
-	inject(p, peers_route_2(p, daemon), fault, for_ms);
+	for (uint32_t zone = 0; zone < p->s->options.zones; zone++)
+		inject(p, peers_route(p, zone, daemon), fault, for_ms);
 }
 
 static struct proxy_fault random_cut(struct plan *p)
@@ -263,7 +308,7 @@
 
 static uint32_t pick_route(struct plan *p)
 {
-	return soak_random(p->s, minion_route_2(p, p->s->options.minions));
+	return soak_random(p->s, zone_routes(p, p->s->options.zones));
 }
 
 static void reset_some(struct plan *p)
@@ -541,50 +586,66 @@
 }
 
 /*
- * Cuts one group of daemons and the minions of that group off from the store
- * and from the other group.
+ * Sets a fault, for @for_ms, on the links between the zones in the set @side
+ * and the others, and with @store also on those between @side and the store.
+ * Data to, and from, the target is that out of, and into, the side.
  */
+static void inject_side(struct plan *p, uint32_t side, bool store,
+			const struct proxy_fault *fault, uint32_t for_ms)
+{
+	const struct soak_options *o = &p->s->options;
+	struct proxy_fault into = *fault;
+
+	into.stall[0] = fault->stall[1];
+	into.stall[1] = fault->stall[0];
+	for (uint32_t zone = 0; zone < o->zones; zone++) {
+		bool inside = side >> zone & 1;
+		const struct proxy_fault *f = inside ? fault : &into;
+
+		for (uint32_t i = 0; i < o->daemons; i++) {
+			uint32_t to = soak_daemon_zone(p->s, i);
+
+			if ((side >> to & 1) != inside)
+				inject(p, peers_route(p, zone, i), f, for_ms);
+			if (store && inside && to == zone)
+				inject(p, daemon_route_index(i, ROUTE_STORE), f,
+				       for_ms);
+		}
+		for (uint32_t i = 0; i < o->minions; i++) {
+			if ((side >> soak_minion_zone(p->s, i) & 1) != inside)
+				inject(p, minion_route(p, zone, i), f, for_ms);
+		}
+	}
+	if (!store || !fault->stall[0])
+		return;
+	for (uint32_t i = 0; i < o->minions; i++)
+		p->chosen[i] = side >> soak_minion_zone(p->s, i) & 1;
+	p->chosen_until_ms = 0;
+	cut_chosen_from_store(p, for_ms);
+}
+
+/* Cuts one zone off from the store and from the other zones. */
 static void series_group(struct plan *p)
 {
 	static const struct proxy_fault cut = { .stall = { true, true } };
 	uint32_t for_ms = series_duration(p);
-	bool group_2 = soak_random(p->s, 2);
+	uint32_t zone = soak_random(p->s, p->s->options.zones);
 
-	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
-		if (soak_daemon_in_group_2(i) == group_2)
-			inject(p, daemon_route_index(i, ROUTE_STORE), &cut,
-			       for_ms);
-		if (soak_daemon_in_group_2(i))
-			inject(p, daemon_route_index(i, ROUTE_PEERS), &cut,
-			       for_ms);
-		else
-			inject(p, peers_route_2(p, i), &cut, for_ms);
-	}
-	for (uint32_t i = 0; i < p->s->options.minions; i++) {
-		p->chosen[i] = soak_minion_in_group_2(i) == group_2;
-		if (soak_minion_in_group_2(i))
-			inject(p, minion_route_index(p, i), &cut, for_ms);
-		else
-			inject(p, minion_route_2(p, i), &cut, for_ms);
-	}
-	p->chosen_until_ms = 0;
-	cut_chosen_from_store(p, for_ms);
+	inject_side(p, 1U << zone, true, &cut, for_ms);
 	if (!soak_random(p->s, 3))
 		change_holder_soon(p, 0);
 }
 
-/* Cuts some minions off from one group of daemons. */
+/* Cuts some minions off from the daemons of one zone. */
 static void series_one_side(struct plan *p)
 {
 	static const struct proxy_fault cut = { .stall = { true, true } };
-	bool group_2 = soak_random(p->s, 2);
+	uint32_t zone = soak_random(p->s, p->s->options.zones);
 
 	for (uint32_t i = 0; i < p->s->options.minions; i++) {
 		if (soak_random(p->s, 2))
-			inject(p,
-			       group_2 ? minion_route_2(p, i)
-				       : minion_route_index(p, i),
-			       &cut, series_duration(p));
+			inject(p, minion_route(p, zone, i), &cut,
+			       series_duration(p));
 	}
 	change_holder_soon(p, 0);
 }
@@ -604,6 +665,179 @@
 		change_holder_soon(p, 0);
 }
 
+static uint32_t zone_duration(struct plan *p)
+{
+	return ZONE_FAULT_MIN_MS +
+	       soak_random(p->s, ZONE_FAULT_MAX_MS - ZONE_FAULT_MIN_MS);
+}
+
+/* Picks the zone of the holder, one in four times any zone. */
+static void pick_zone(struct plan *p)
+{
+	p->zone = soak_random(p->s, 4) ? soak_daemon_zone(p->s, p->holder)
+				       : soak_random(p->s, p->s->options.zones);
+}
+
+/* Returns a cut out of a side, into it, or most times both. */
+static struct proxy_fault zone_cut(struct plan *p)
+{
+	uint32_t kind = soak_random(p->s, 5);
+
+	return (struct proxy_fault){ .stall = { kind != 0, kind != 1 } };
+}
+
+/* Kills some daemons of the zone and starts them again. */
+static void kill_in_zone(struct plan *p)
+{
+	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
+		if (soak_daemon_zone(p->s, i) == p->zone &&
+		    soak_random(p->s, 2))
+			procs_kill(p->s->procs, i, SIGKILL,
+				   soak_random(p->s, 2000));
+	}
+}
+
+/* Lets several daemons of the zone stand still, and wake at the same time. */
+static void pause_zone(struct plan *p)
+{
+	uint32_t for_ms = zone_duration(p);
+	bool all = soak_random(p->s, 2);
+
+	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
+		if (soak_daemon_zone(p->s, i) == p->zone &&
+		    (all || soak_random(p->s, 2)))
+			procs_pause(p->s->procs, i, for_ms);
+	}
+}
+
+/* Adds faults to those of the zone, half of the time none. */
+static void disturb_zone(struct plan *p)
+{
+	uint32_t kind = soak_random(p->s, 8);
+
+	if (kind == 0)
+		run_later(p, soak_random(p->s, 3000), kill_in_zone);
+	else if (kind == 1)
+		run_later(p, soak_random(p->s, 3000), pause_zone);
+	else if (kind < 4)
+		change_holder_soon(p, soak_random(p->s, 3000));
+}
+
+/* Cuts a zone off from the others, three in four times also from the store. */
+static void series_zone(struct plan *p)
+{
+	struct proxy_fault cut = zone_cut(p);
+	bool store = soak_random(p->s, 4);
+
+	pick_zone(p);
+	soak_log(p->s, "series: zone=%u out=%d into=%d store=%d", p->zone,
+		 cut.stall[0], cut.stall[1], store);
+	inject_side(p, 1U << p->zone, store, &cut, zone_duration(p));
+	disturb_zone(p);
+}
+
+/*
+ * Cuts the regions, every second zone, off from each other. The store stays
+ * with the region of the holder.
+ */
+static void series_region(struct plan *p)
+{
+	struct proxy_fault cut = zone_cut(p);
+	uint32_t side = 0;
+
+	p->zone = (soak_daemon_zone(p->s, p->holder) + 1) % p->s->options.zones;
+	for (uint32_t zone = 0; zone < p->s->options.zones; zone++) {
+		if (zone % 2 != soak_daemon_zone(p->s, p->holder) % 2)
+			side |= 1U << zone;
+	}
+	soak_log(p->s, "series: side=%#x out=%d into=%d", side, cut.stall[0],
+		 cut.stall[1]);
+	inject_side(p, side, true, &cut, zone_duration(p));
+	if (!soak_random(p->s, 3))
+		disturb_zone(p);
+}
+
+static void series_pause(struct plan *p)
+{
+	pick_zone(p);
+	pause_zone(p);
+	if (!soak_random(p->s, 3))
+		series_zone(p);
+}
+
+/* Makes the links of a zone late. */
+static void series_late_zone(struct plan *p)
+{
+	struct proxy_fault late = {
+		.delay_ms =
+			ZONE_DELAY_MIN_MS +
+			soak_random(p->s, ZONE_DELAY_MAX_MS - ZONE_DELAY_MIN_MS)
+	};
+
+	pick_zone(p);
+	soak_log(p->s, "series: zone=%u delay_ms=%u", p->zone, late.delay_ms);
+	inject_side(p, 1U << p->zone, soak_random(p->s, 2), &late,
+		    zone_duration(p));
+	if (!soak_random(p->s, 3))
+		disturb_zone(p);
+}
+
+/* Restarts one in twelve minions; each keeps its id. */
+static void restart_minions(struct plan *p)
+{
+	for (uint32_t i = 0; i < p->s->options.minions; i++) {
+		if (!soak_random(p->s, 12))
+			set_platform_fault(
+				p,
+				json_pack("{s:i,s:i}", "crash", (int)i,
+					  "for_ms",
+					  (int)soak_random(
+						  p->s, RESTART_DOWN_MAX_MS)));
+	}
+}
+
+/* Restarts minions while polls and starts, some of them late, are in flight. */
+static void series_restart(struct plan *p)
+{
+	for (uint32_t i = 0; i < RESTART_ROUNDS; i++)
+		run_later(p, soak_random(p->s, RESTART_SPREAD_MS),
+			  restart_minions);
+	if (soak_random(p->s, 2))
+		delay_orders(p);
+	if (soak_random(p->s, 2))
+		series_late_zone(p);
+	else if (!soak_random(p->s, 3))
+		change_holder_soon(p, 0);
+}
+
+/* Ends the term of the holder, and leaves the store to the former one. */
+static void come_back(struct plan *p)
+{
+	static const struct proxy_fault cut = { .stall = { true, true } };
+
+	if (p->holder == p->former)
+		return;
+	soak_log(p->s, "series: holder=%u former=%u", p->holder, p->former);
+	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
+		if (i != p->former)
+			inject(p, daemon_route_index(i, ROUTE_STORE), &cut,
+			       COME_BACK_SPREAD_MS);
+	}
+	change_holder(p);
+}
+
+/* Replaces the holder, by a fault of its zone or of it alone; it comes back. */
+static void series_come_back(struct plan *p)
+{
+	p->former = p->holder;
+	if (soak_random(p->s, 2))
+		series_zone(p);
+	else
+		change_holder(p);
+	run_later(p, COME_BACK_MIN_MS + soak_random(p->s, COME_BACK_SPREAD_MS),
+		  come_back);
+}
+
 static const struct action series[] = {
 	{ "series of cut minions", 3, series_minions },
 	{ "series of the store away", 3, series_store_away },
@@ -614,6 +848,18 @@
 
 #define SERIES_COUNT (sizeof(series) / sizeof(series[0]))
 
+/* Played beside those above with three zones or more. */
+static const struct action zone_series[] = {
+	{ "series of a zone cut off", 5, series_zone },
+	{ "series of a region cut off", 4, series_region },
+	{ "series of a zone that stands still", 2, series_pause },
+	{ "series of a late zone", 3, series_late_zone },
+	{ "series of restarting minions", 2, series_restart },
+	{ "series of a holder that comes back", 3, series_come_back },
+};
+
+#define ZONE_SERIES_COUNT (sizeof(zone_series) / sizeof(zone_series[0]))
+
 static void start_action(struct plan *p, const struct action *table,
 			 size_t count)
 {
@@ -672,6 +918,8 @@
 {
 	uint64_t phase = (now_ms - p->s->began_ms) / PHASE_MS;
 
+	if (p->s->options.zones > 2)
+		return FAULT_GAP_SPARSE_MAX_MS;
 	return p->s->options.basic || phase % 2 ? FAULT_GAP_MAX_MS
 						: FAULT_GAP_SPARSE_MAX_MS;
 }
@@ -696,7 +944,10 @@
 			now_ms + SERIES_GAP_MIN_MS +
 			soak_random(p->s,
 				    SERIES_GAP_MAX_MS - SERIES_GAP_MIN_MS);
-		start_action(p, series, SERIES_COUNT);
+		if (p->s->options.zones > 2 && soak_random(p->s, 4))
+			start_action(p, zone_series, ZONE_SERIES_COUNT);
+		else
+			start_action(p, series, SERIES_COUNT);
 	}
 }
 
--- a/tests/soak/preload.c
+++ b/tests/soak/preload.c
@@ -1,7 +1,7 @@
 /*
  * LD_PRELOAD library for daemons of the soak, controlled by the file named by
- * SOAK_PRELOAD: offsets CLOCK_REALTIME, and connects to the proxies of the
- * group of the daemon.
+ * SOAK_PRELOAD: offsets CLOCK_REALTIME, and connects from the address of the
+ * zone of the daemon.
  */
 #include <arpa/inet.h>
 #include <dlfcn.h>
@@ -64,16 +64,18 @@
 /* Overrides connect(); ports outside of the run are unchanged. */
 int connect(int fd, const struct sockaddr *addr, socklen_t len)
 {
-	struct sockaddr_in in;
-	uint32_t offset;
+	const struct sockaddr_in *to = (const struct sockaddr_in *)addr;
+	struct sockaddr_in from = { .sin_family = AF_INET };
+	int on = 1;
 
-	if (!preload || addr->sa_family != AF_INET)
+	if (!preload || addr->sa_family != AF_INET ||
+	    ntohs(to->sin_port) - preload->base_port >= SOAK_PORTS)
 		return real_connect(fd, addr, len);
-	in = *(const struct sockaddr_in *)addr;
-	offset = ntohs(in.sin_port) - preload->base_port;
-	if (offset >= SOAK_PORTS || !preload->instead[offset])
-		return real_connect(fd, addr, len);
-	in.sin_port = htons(
-		(uint16_t)(preload->base_port + preload->instead[offset]));
-	return real_connect(fd, (const struct sockaddr *)&in, sizeof(in));
+	from.sin_addr.s_addr = htonl(SOAK_ZONE_ADDRESS + preload->zone);
+	/* The kernel selects the port in connect(). */
+	if (setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on,
+		       sizeof(on)) < 0 ||
+	    bind(fd, (const struct sockaddr *)&from, sizeof(from)) < 0)
+		return -1;
+	return real_connect(fd, addr, len);
 }
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -53,6 +53,7 @@
 {
 	const struct soak *s = p->s;
 	const struct proc *proc = &p->daemons[daemon];
+	uint32_t zones = s->options.zones > 2 ? s->options.zones : 3;
 	char path[PATH_SIZE];
 	char temporary[PATH_SIZE];
 	FILE *out;
@@ -75,7 +76,8 @@
 		"\"hold_max_ms\": 6000,\n"
 		"  \"status_s\": 120, \"grace_s\": %u, "
 		"\"snapshot_batches\": 40 }\n",
-		daemon, daemon % 3, soak_daemon_port(s, daemon, DAEMON_CALLERS),
+		daemon, daemon % zones,
+		soak_daemon_port(s, daemon, DAEMON_CALLERS),
 		soak_daemon_port(s, daemon, DAEMON_READY),
 		soak_daemon_port(s, daemon, DAEMON_PEERS),
 		soak_daemon_port(s, daemon, DAEMON_PEERS_PROXY),
@@ -94,24 +96,14 @@
 static void write_preload(struct procs *p, uint32_t daemon)
 {
 	const struct soak_options *o = &p->s->options;
-	struct soak_preload preload = { .skew_ms = p->daemons[daemon].skew_ms,
-					.base_port = o->base_port };
+	struct soak_preload preload = {
+		.skew_ms = p->daemons[daemon].skew_ms,
+		.base_port = o->base_port,
+		.zone = soak_daemon_zone(p->s, daemon),
+	};
 	char path[PATH_SIZE];
 	int fd;
 
-	if (soak_daemon_in_group_2(daemon)) {
-		for (uint32_t i = 0; i < o->minions; i++)
-			preload.instead[PORT_MINION_PROXY + i] =
-				(uint16_t)(PORT_MINION_PROXY_2 + i);
-		for (uint32_t i = 0; i < o->daemons; i++)
-			preload.instead[soak_daemon_port(p->s, i,
-							 DAEMON_PEERS_PROXY) -
-					o->base_port] =
-				(uint16_t)(soak_daemon_port(
-						   p->s, i,
-						   DAEMON_PEERS_PROXY_2) -
-					   o->base_port);
-	}
 	format_path(p, "preload", daemon, "", path);
 	fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
 	if (fd < 0 || pwrite(fd, &preload, sizeof(preload), 0) !=
@@ -136,8 +128,7 @@
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 	}
-	for (int i = STDERR_FILENO + 1; i < 1024; i++)
-		close(i);
+	close_range(STDERR_FILENO + 1, ~0U, 0);
 	execv(argv[0], argv);
 	_exit(127);
 }
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -13,9 +13,11 @@
 #include <unistd.h>
 
 #include "addr.h"
+#include "preload.h"
 #include "soak.h"
 
-#define RELAYS_MAX 1024
+#define RELAYS_MAX 6144
+#define LISTENERS_MAX 1024
 #define BACKLOG 64
 #define READ_SIZE 16384
 /* Queued bytes in one direction above which the sender is not read. */
@@ -24,9 +26,13 @@
 
 enum end { CALLER, TARGET, ENDS };
 
-struct route {
-	int listener;
+struct listener {
+	int fd;
 	uint32_t to;
+	uint32_t routes[SOAK_ZONES_MAX]; /* by the zone of the caller */
+};
+
+struct route {
 	struct proxy_fault fault;
 	uint32_t resets;     /* calls of proxy_reset() */
 	uint32_t blackholes; /* calls of proxy_blackhole() */
@@ -48,19 +54,23 @@
 };
 
 struct relay {
-	int fd[ENDS]; /* -1: the relay is free */
+	int fd[ENDS];
 	uint32_t route;
 	uint32_t resets; /* of the route when it was accepted */
 	uint32_t blackholes;
+	bool closed;		  /* to be freed */
 	struct queue queue[ENDS]; /* by source end */
 };
 
 struct proxy {
 	pthread_mutex_t lock;
+	struct listener listeners[LISTENERS_MAX];
+	uint32_t listener_count;
 	struct route routes[SOAK_ROUTES_MAX];
 	uint32_t route_count;
-	struct relay relays[RELAYS_MAX];
-	struct pollfd fds[SOAK_ROUTES_MAX + RELAYS_MAX * ENDS];
+	struct relay *relays[RELAYS_MAX]; /* open ones */
+	uint32_t relay_count;
+	struct pollfd fds[LISTENERS_MAX + RELAYS_MAX * ENDS];
 };
 
 static void queue_clear(struct queue *q)
@@ -84,9 +94,9 @@
 			setsockopt(r->fd[i], SOL_SOCKET, SO_LINGER, &now,
 				   sizeof(now));
 		close(r->fd[i]);
-		r->fd[i] = -1;
 		queue_clear(&r->queue[i]);
 	}
+	r->closed = true;
 }
 
 static void set_nonblocking(int fd)
@@ -94,28 +104,38 @@
 	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
 }
 
-static void accept_relay(struct proxy *p, uint32_t at)
+/* Returns the route from the zone of a caller to the target of a listener. */
+static uint32_t route_from(const struct listener *listener,
+			   const struct sockaddr_in *from)
+{
+	uint32_t zone = ntohl(from->sin_addr.s_addr) - SOAK_ZONE_ADDRESS;
+
+	return listener->routes[zone < SOAK_ZONES_MAX ? zone : 0];
+}
+
+static void accept_relay(struct proxy *p, const struct listener *listener)
 {
-	struct route *route = &p->routes[at];
 	struct sockaddr_in to = { .sin_family = AF_INET,
-				  .sin_port = htons((uint16_t)route->to),
+				  .sin_port = htons((uint16_t)listener->to),
 				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	int fd = accept(route->listener, NULL, NULL);
-	struct relay *r = NULL;
+	struct sockaddr_in from = { 0 };
+	socklen_t len = sizeof(from);
+	int fd = accept(listener->fd, (struct sockaddr *)&from, &len);
+	const struct route *route;
+	struct relay *r;
 
 	if (fd < 0)
 		return;
-	for (uint32_t i = 0; i < RELAYS_MAX && !r; i++) {
-		if (p->relays[i].fd[CALLER] < 0)
-			r = &p->relays[i];
-	}
-	if (!r) {
+	if (p->relay_count == RELAYS_MAX) {
 		close(fd);
 		return;
 	}
+	r = xcalloc(1, sizeof(*r));
+	p->relays[p->relay_count++] = r;
 	r->fd[CALLER] = fd;
 	r->fd[TARGET] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	r->route = at;
+	r->route = route_from(listener, &from);
+	route = &p->routes[r->route];
 	r->resets = route->resets;
 	r->blackholes = route->blackholes;
 	for (int i = 0; i < ENDS; i++) {
@@ -213,10 +233,8 @@
 	}
 }
 
-static void poll_relay(struct proxy *p, const struct relay *r,
-		       struct pollfd *polled)
+static void poll_relay(const struct relay *r, struct pollfd *polled)
 {
-	(void)p;
 	for (int end = CALLER; end < ENDS; end++) {
 		const struct queue *q = &r->queue[end];
 
@@ -229,36 +247,44 @@
 	}
 }
 
+static void free_closed_relays(struct proxy *p)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < p->relay_count; i++) {
+		if (p->relays[i]->closed)
+			free(p->relays[i]);
+		else
+			p->relays[kept++] = p->relays[i];
+	}
+	p->relay_count = kept;
+}
+
 static void *proxy_thread(void *arg)
 {
 	struct proxy *p = arg;
+	struct pollfd *relay_fds = p->fds + p->listener_count;
 
 	for (;;) {
-		uint32_t relays = p->route_count;
+		uint32_t polled = p->relay_count;
 		uint64_t now;
 
-		pthread_mutex_lock(&p->lock);
-		for (uint32_t i = 0; i < p->route_count; i++)
-			p->fds[i] =
-				(struct pollfd){ .fd = p->routes[i].listener,
-						 .events = POLLIN };
-		for (uint32_t i = 0; i < RELAYS_MAX; i++)
-			poll_relay(p, &p->relays[i],
-				   &p->fds[relays + i * ENDS]);
-		pthread_mutex_unlock(&p->lock);
-		poll(p->fds, relays + RELAYS_MAX * ENDS, POLL_MS);
+		for (uint32_t i = 0; i < p->listener_count; i++)
+			p->fds[i] = (struct pollfd){ .fd = p->listeners[i].fd,
+						     .events = POLLIN };
+		for (uint32_t i = 0; i < polled; i++)
+			poll_relay(p->relays[i], &relay_fds[i * ENDS]);
+		poll(p->fds, p->listener_count + polled * ENDS, POLL_MS);
 		now = loop_now_ms();
 		pthread_mutex_lock(&p->lock);
-		for (uint32_t i = 0; i < RELAYS_MAX; i++) {
-			if (p->relays[i].fd[CALLER] >= 0)
-				relay_step(p, &p->relays[i],
-					   &p->fds[relays + i * ENDS], now);
-		}
-		for (uint32_t i = 0; i < p->route_count; i++) {
+		for (uint32_t i = 0; i < polled; i++)
+			relay_step(p, p->relays[i], &relay_fds[i * ENDS], now);
+		for (uint32_t i = 0; i < p->listener_count; i++) {
 			if (p->fds[i].revents & POLLIN)
-				accept_relay(p, i);
+				accept_relay(p, &p->listeners[i]);
 		}
 		pthread_mutex_unlock(&p->lock);
+		free_closed_relays(p);
 	}
 	return NULL;
 }
@@ -269,10 +295,6 @@
 	struct proxy *p = xcalloc(1, sizeof(*p));
 
 	pthread_mutex_init(&p->lock, NULL);
-	for (uint32_t i = 0; i < RELAYS_MAX; i++) {
-		p->relays[i].fd[CALLER] = -1;
-		p->relays[i].fd[TARGET] = -1;
-	}
 	return p;
 }
 
@@ -283,25 +305,40 @@
 uint32_t proxy_add(struct proxy *p, uint32_t port, uint32_t to, struct err *err)
 {
 	struct buf addr = buf_fmt("127.0.0.1:%u", port);
-	struct route *route = &p->routes[p->route_count];
+	struct listener *listener = &p->listeners[p->listener_count];
 	uint32_t at = UINT32_MAX;
 
-	if (p->route_count == SOAK_ROUTES_MAX) {
-		err_set(err, ERR_BAD_REQUEST, "more than %u routes",
-			SOAK_ROUTES_MAX);
+	if (p->listener_count == LISTENERS_MAX) {
+		err_set(err, ERR_BAD_REQUEST, "more than %u listeners",
+			LISTENERS_MAX);
 		goto out;
 	}
-	route->listener = addr_listen(addr.data, BACKLOG, err);
-	if (route->listener < 0)
+	listener->fd = addr_listen(addr.data, BACKLOG, err);
+	if (listener->fd < 0)
 		goto out;
-	set_nonblocking(route->listener);
-	route->to = to;
-	at = p->route_count++;
+	set_nonblocking(listener->fd);
+	listener->to = to;
+	/* Until proxy_add_zone() route and listener have the same index. */
+	at = p->listener_count++;
+	p->route_count = p->listener_count;
+	for (uint32_t zone = 0; zone < SOAK_ZONES_MAX; zone++)
+		listener->routes[zone] = at;
 out:
 	buf_free(&addr);
 	return at;
 }
 
+/*
+ * Adds a route for the callers of @zone beside @route, which proxy_add() has
+ * returned. Returns the index of the new route. To be called after the last
+ * proxy_add() and before proxy_start().
+ */
+uint32_t proxy_add_zone(struct proxy *p, uint32_t route, uint32_t zone)
+{
+	p->listeners[route].routes[zone] = p->route_count;
+	return p->route_count++;
+}
+
 /* Starts the proxy thread, which runs until the process exits. */
 bool proxy_start(struct proxy *p, struct err *err)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,8 +15,9 @@
 #include "loop.h"
 
 #define SOAK_DAEMONS_MAX 64
-#define SOAK_MINIONS_MAX 64
-#define SOAK_ROUTES_MAX 512
+#define SOAK_MINIONS_MAX 352
+#define SOAK_ZONES_MAX 6
+#define SOAK_ROUTES_MAX 4096
 #define SOAK_HOST "jobs.example"
 
 struct soak_options {
@@ -26,6 +27,7 @@
 	uint32_t seconds; /* duration of the fault phase, in s */
 	uint32_t daemons;
 	uint32_t minions;
+	uint32_t zones;
 	uint32_t base_port;
 	bool basic; /* no series of faults, see plan.c */
 };
@@ -33,9 +35,8 @@
 /* Offsets from the base port. */
 enum soak_port {
 	PORT_STORE = 0, /* +1: advice service, from +3: minions */
-	PORT_MINION_PROXY = 70,
-	PORT_MINION_PROXY_2 = 134, /* for the daemons of the second group */
-	PORT_DAEMONS = 200
+	PORT_MINION_PROXY = 360,
+	PORT_DAEMONS = 720
 };
 
 /* Ports of one daemon, see soak_daemon_port(). */
@@ -47,7 +48,6 @@
 	DAEMON_PEERS_PROXY,
 	DAEMON_STORE_PROXY,
 	DAEMON_ADVICE_PROXY,
-	DAEMON_PEERS_PROXY_2, /* for the daemons of the second group */
 	DAEMON_PORTS
 };
 
@@ -68,8 +68,8 @@
 uint32_t soak_daemon_port(const struct soak *s, uint32_t daemon,
 			  enum daemon_port port);
 uint32_t soak_random(struct soak *s, uint32_t below);
-bool soak_daemon_in_group_2(uint32_t daemon);
-bool soak_minion_in_group_2(uint32_t minion);
+uint32_t soak_daemon_zone(const struct soak *s, uint32_t daemon);
+uint32_t soak_minion_zone(const struct soak *s, uint32_t minion);
 void soak_log(const struct soak *s, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 void soak_violation(struct soak *s, const char *fmt, ...)
@@ -89,6 +89,7 @@
 struct proxy *proxy_new(void);
 uint32_t proxy_add(struct proxy *proxy, uint32_t port, uint32_t to,
 		   struct err *err);
+uint32_t proxy_add_zone(struct proxy *proxy, uint32_t route, uint32_t zone);
 bool proxy_start(struct proxy *proxy, struct err *err);
 void proxy_set(struct proxy *proxy, uint32_t route,
 	       const struct proxy_fault *fault);
@@ -122,6 +123,7 @@
 /* plan.c: fault schedule. */
 struct plan;
 struct plan *plan_new(struct soak *s);
+void plan_add_routes(struct plan *plan);
 void plan_tick(struct plan *plan, uint64_t now_ms);
 void plan_heal(struct plan *plan);
 void plan_write_config(struct plan *plan);
