soak: starts and polls that are executed in the next life of a minion

A call without a response may be executed seconds later, and a minion may start again under its id, so a call may reach a life that knows nothing of the former one. The stand-in dropped late starts when a minion restarted, and knew no late polls.

--- a/fakes/platform_minion.c
+++ b/fakes/platform_minion.c
@@ -128,11 +128,17 @@
 	UT_hash_handle hh;
 };
 
-/* A start request that is not answered and is executed after a delay. */
+/*
+ * A request that is not answered and is executed after a delay: a start, or a
+ * poll if @poll.
+ */
 struct late_order {
 	struct platform_minions *p;
 	uint32_t minion;
 	uint32_t incarnation;
+	char id[32];
+	bool poll;
+	bool next_life; /* also executed in a later life under the same id */
 	json_t *body;
 	uint64_t ordered_unix_ms;
 	struct timer timer;
@@ -150,7 +156,9 @@
 	struct tally *tallies;
 	uint64_t order; /* of the latest start or end */
 	uint32_t late_orders;
+	uint32_t late_polls;
 	uint32_t late_ms;
+	bool late_next_life;
 	uint64_t twice;
 	uint64_t after_done;
 	uint64_t over_capacity;
@@ -827,34 +835,6 @@
 		tick_minion(p, &p->table[i], loop_now_ms());
 }
 
-static void on_late_order(struct timer *timer)
-{
-	struct late_order *late = timer->ctx;
-	struct minion *m = &late->p->table[late->minion];
-
-	if (m->incarnation == late->incarnation && !m->down_until) {
-		tick_minions(late->p);
-		handle_start(late->p, m, 0, late->body, late->ordered_unix_ms);
-	}
-	json_decref(late->body);
-	free(late);
-}
-
-static void delay_order(struct platform_minions *p, const struct minion *m,
-			json_t *body)
-{
-	struct late_order *late = xcalloc(1, sizeof(*late));
-
-	p->late_orders--;
-	*late = (struct late_order){ .p = p,
-				     .minion = (uint32_t)(m - p->table),
-				     .incarnation = m->incarnation,
-				     .body = json_incref(body),
-				     .ordered_unix_ms = unix_ms() };
-	late->timer = (struct timer){ .fn = on_late_order, .ctx = late };
-	timer_start(p->loop, &late->timer, p->late_ms);
-}
-
 static void handle_stop(struct platform_minions *p, struct minion *m,
 			uint64_t call, const json_t *body)
 {
@@ -873,19 +853,16 @@
 	accept_order(p, m, call);
 }
 
-static void handle_poll(struct platform_minions *p, struct minion *m,
-			uint64_t call, const json_t *body)
+/* Applies a poll, without its answer; returns false if it is fenced. */
+static bool execute_poll(struct platform_minions *p, struct minion *m,
+			 const json_t *body)
 {
-	uint64_t now = loop_now_ms();
 	uint64_t observed = get_u64(body, "observed");
 	uint64_t deadline = get_u64(body, "deadline_ms");
-	uint64_t wait_ms = get_u64(body, "wait_ms");
 	uint32_t kept = 0;
 
-	if (is_fenced(p, m, body)) {
-		reject(p, m, call, "fence");
-		return;
-	}
+	if (is_fenced(p, m, body))
+		return false;
 	if (deadline)
 		renew_lease(p, m, deadline);
 	for (uint32_t i = 0; i < m->end_count; i++) {
@@ -895,13 +872,65 @@
 			observe_end(p, &m->ends[i]);
 	}
 	m->end_count = kept;
+	return true;
+}
+
+static void handle_poll(struct platform_minions *p, struct minion *m,
+			uint64_t call, const json_t *body)
+{
+	uint64_t wait_ms = get_u64(body, "wait_ms");
+
+	if (!execute_poll(p, m, body)) {
+		reject(p, m, call, "fence");
+		return;
+	}
 	answer_poll(p, m);
 	m->poll_call = call;
-	m->poll_until_ms = now + wait_ms;
+	m->poll_until_ms = loop_now_ms() + wait_ms;
 	if (!wait_ms || m->end_count)
 		answer_poll(p, m);
 }
 
+static void on_late_order(struct timer *timer)
+{
+	struct late_order *late = timer->ctx;
+	struct platform_minions *p = late->p;
+	struct minion *m = &p->table[late->minion];
+
+	if (m->down_until || strcmp(m->id, late->id) != 0 ||
+	    (m->incarnation != late->incarnation && !late->next_life))
+		goto out;
+	tick_minions(p);
+	if (late->poll)
+		execute_poll(p, m, late->body);
+	else
+		handle_start(p, m, 0, late->body, late->ordered_unix_ms);
+out:
+	json_decref(late->body);
+	free(late);
+}
+
+static void delay_order(struct platform_minions *p, const struct minion *m,
+			json_t *body, bool poll)
+{
+	struct late_order *late = xcalloc(1, sizeof(*late));
+
+	if (poll)
+		p->late_polls--;
+	else
+		p->late_orders--;
+	*late = (struct late_order){ .p = p,
+				     .minion = (uint32_t)(m - p->table),
+				     .incarnation = m->incarnation,
+				     .poll = poll,
+				     .next_life = p->late_next_life,
+				     .body = json_incref(body),
+				     .ordered_unix_ms = unix_ms() };
+	memcpy(late->id, m->id, sizeof(late->id));
+	late->timer = (struct timer){ .fn = on_late_order, .ctx = late };
+	timer_start(p->loop, &late->timer, p->late_ms);
+}
+
 /* Handles a request to the minion at the request's port. */
 void platform_minions_handle(struct platform_minions *p,
 			     const struct fake_request *request)
@@ -925,7 +954,9 @@
 	    strcmp(expected, m->id) != 0)
 		fake_answer_error(p->fake, request->id, 421, "another life");
 	else if (!strcmp(request->http.path, "/run-start") && p->late_orders)
-		delay_order(p, m, body);
+		delay_order(p, m, body, false);
+	else if (!strcmp(request->http.path, "/hold") && p->late_polls)
+		delay_order(p, m, body, true);
 	else if (!strcmp(request->http.path, "/run-start"))
 		handle_start(p, m, request->id, body, unix_ms());
 	else if (!strcmp(request->http.path, "/run-stop"))
@@ -980,7 +1011,8 @@
 }
 
 /*
- * Injects a fault: {"late_orders": N, "late_ms": M}, or one of "crash",
+ * Injects a fault: {"late_orders": N, "late_ms": M}, optionally with
+ * "late_polls" and "next_life", or one of "crash",
  * "drain", "grey" and "hang" with the index of a minion and "for_ms", or "cut"
  * with a list of these. A minion that is cut does not reach the store; it still
  * serves its callers. Returns false if @change names none of these.
@@ -994,7 +1026,10 @@
 
 	if (json_object_get(change, "late_orders")) {
 		p->late_orders = (uint32_t)get_u64(change, "late_orders");
+		p->late_polls = (uint32_t)get_u64(change, "late_polls");
 		p->late_ms = (uint32_t)get_u64(change, "late_ms");
+		p->late_next_life =
+			json_is_true(json_object_get(change, "next_life"));
 		return true;
 	}
 	if (json_object_get(change, "cut")) {
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -357,6 +357,19 @@
 				     (int)soak_random(p->s, 9000)));
 }
 
+/* Starts and polls are executed late, also in the next life of a minion. */
+static void delay_into_next_life(struct plan *p)
+{
+	uint32_t minions = p->s->options.minions;
+
+	set_platform_fault(
+		p,
+		json_pack("{s:i,s:i,s:i,s:b}", "late_orders",
+			  1 + (int)soak_random(p->s, minions), "late_polls",
+			  1 + (int)soak_random(p->s, minions), "late_ms",
+			  200 + (int)soak_random(p->s, 4000), "next_life", 1));
+}
+
 static void compact(struct plan *p)
 {
 	set_platform_fault(p, json_pack("{s:b}", "compact", 1));
@@ -802,8 +815,11 @@
 	for (uint32_t i = 0; i < RESTART_ROUNDS; i++)
 		run_later(p, soak_random(p->s, RESTART_SPREAD_MS),
 			  restart_minions);
-	if (soak_random(p->s, 2))
-		delay_orders(p);
+	if (soak_random(p->s, 2)) {
+		delay_into_next_life(p);
+		run_later(p, soak_random(p->s, RESTART_SPREAD_MS),
+			  delay_into_next_life);
+	}
 	if (soak_random(p->s, 2))
 		series_late_zone(p);
 	else if (!soak_random(p->s, 3))
@@ -854,7 +870,7 @@
 	{ "series of a region cut off", 4, series_region },
 	{ "series of a zone that stands still", 2, series_pause },
 	{ "series of a late zone", 3, series_late_zone },
-	{ "series of restarting minions", 2, series_restart },
+	{ "series of restarting minions", 4, series_restart },
 	{ "series of a holder that comes back", 3, series_come_back },
 };
 
