--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -29,7 +29,8 @@
 	uint32_t minions;
 	uint32_t zones;
 	uint32_t base_port;
-	bool basic; /* no series of faults, see plan.c */
+	bool basic;	/* no series of faults, see plan.c */
+	bool next_life; /* late calls reach the next life of a minion */
 };
 
 /* Offsets from the base port. */
