--- a/tests/process/11-fake-minions.sh
+++ b/tests/process/11-fake-minions.sh
@@ -109,6 +109,17 @@
 check "entries were gone" test "$(entries)" -lt 4
 wait_for "entries are back" entries_are 4
 
+# --- A crash ---------------------------------------------------------------
+curl -s -m 3 -o "$DIR/poll" -w '%{http_code}' -X POST \
+	"http://127.0.0.1:$((BASE + 6))/hold" \
+	-d '{"fencing_token":1,"observed":100,"wait_ms":2000}' >"$DIR/poll-status" &
+poll=$!
+sleep 0.5
+check "a minion crashes" fault_platform '{"crash":3,"for_ms":200}'
+wait $poll
+check_equal "it does not answer its poll" 000 "$(cat "$DIR/poll-status")"
+check_equal "its next life serves" 200 "$(observe_ends 3 0)"
+
 # --- Limits of the store ---------------------------------------------------
 put_zeros() {
 	head -c "$2" /dev/zero | status_of -X PUT --data-binary @- \
