Read the changes of the stand-in's store from the latest one back

Each write walked all of up to 20,000 changes for each watch, and with 350 minions there are about 700 writes a second. Process tests 11 and 40 pass.

--- a/fakes/platform_kv.c
+++ b/fakes/platform_kv.c
@@ -98,11 +98,14 @@
 			    uint64_t after)
 {
 	json_t *events = json_array();
+	uint32_t first = kv->history_count;
 
-	for (uint32_t i = 0; i < kv->history_count; i++) {
+	while (first && kv->history[first - 1].revision > after)
+		first--;
+	for (uint32_t i = first; i < kv->history_count; i++) {
 		const struct change *c = &kv->history[i];
 
-		if (c->revision <= after || !has_prefix(c->key, prefix))
+		if (!has_prefix(c->key, prefix))
 			continue;
 		if (c->value)
 			json_array_append_new(
