--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -320,9 +320,20 @@
 	proc->stopped = stopped;
 }
 
+/* Without its own fakeplatform a run may use that of another run. */
+static void check_platform(struct procs *p)
+{
+	if (!p->platform || waitpid(p->platform, NULL, WNOHANG) != p->platform)
+		return;
+	p->platform = 0;
+	soak_violation(p->s, "fakeplatform exited, see platform.log");
+	loop_stop(p->s->loop);
+}
+
 /* Resumes, kills, reaps and restarts the daemons that are due. */
 void procs_tick(struct procs *p, uint64_t now_ms)
 {
+	check_platform(p);
 	for (uint32_t i = 0; i < p->s->options.daemons; i++) {
 		struct proc *proc = &p->daemons[i];
 
