Start nothing in a term that a minion has fenced until it is confirmed

Callers saw a task run twice: a minion rejected a start of a deposed holder, as it knew a later term. The holder released the task and started it on another minion in the 1.5 s for which its term still counted as valid. Each minion that the successor has contacted rejects such a start, but not one that has restarted since under the same id: that knows no term.

From the rejection of a start or poll on, nothing is started before the term is confirmed as of a later time, and that confirmation is requested at once.

Both tests failed before: tasks were started.

--- a/jaycelld/cell_ops.c
+++ b/jaycelld/cell_ops.c
@@ -20,9 +20,11 @@
 	if (!holder_end_call(h))
 		return;
 	cell_on_start(h->cell, minion, task, run, result, loop_now_ms());
-	if (result == CELL_REJECTED_FENCE)
-		ev("fenced", "task=%s run=%llu token=%llu", task,
-		   (unsigned long long)run, (unsigned long long)h->token);
+	if (result != CELL_REJECTED_FENCE)
+		return;
+	terms_want_confirmation(h->d->terms, loop_now_ms());
+	ev("fenced", "task=%s run=%llu token=%llu", task,
+	   (unsigned long long)run, (unsigned long long)h->token);
 }
 
 static void op_start(struct cell_owner *owner, const struct cell_start *start)
@@ -83,6 +85,8 @@
 		cell_on_report(h->cell, minion, id, report, sent_ms, now);
 	else
 		cell_on_poll_failed(h->cell, minion, id, result, sent_ms, now);
+	if (result == CELL_REJECTED_FENCE)
+		terms_want_confirmation(h->d->terms, now);
 }
 
 static void op_poll(struct cell_owner *owner, uint32_t minion)
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -901,6 +901,8 @@
 		return;
 	poll = cell_poll_close(m, sent_ms);
 	cell->minions_due = true;
+	if (result == CELL_REJECTED_FENCE)
+		cell->fenced_ms = now_ms;
 	/* The lack of a response to an overdue poll is known. */
 	if (call_is_outdated(m, sent_ms) ||
 	    (poll.overdue && result != CELL_OTHER_INCARNATION))
@@ -931,6 +933,8 @@
 	struct cell_grant *grant;
 
 	cell->stats.rejected++;
+	if (result == CELL_REJECTED_FENCE)
+		cell->fenced_ms = now_ms;
 	if (task && result == CELL_REJECTED_TICKET) {
 		grant = cell_grant_find(step, m->handle);
 		if (grant)
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -397,6 +397,9 @@
 {
 	const struct cell_job *job = entry->step->job;
 
+	/* A minion that restarts no longer knows the later term. */
+	if (cell->fenced_ms && cell->confirmed_ms <= cell->fenced_ms)
+		return false;
 	if (job->confirm_after_ms &&
 	    cell->confirmed_ms <= job->confirm_after_ms)
 		return false;
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -446,3 +446,38 @@
 	f.tick(1000);
 	EXPECT_EQ(f.settled.size(), 1U);
 }
+
+TEST(Restart, FencedTermStartsNothingBeforeItIsConfirmed)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(100);
+	cell_set_term_valid(f.cell, true, f.now - 10);
+	cell_on_start(f.cell, f.minion, "j.0.0.0", f.starts[0].run,
+		      CELL_REJECTED_FENCE, f.now);
+	f.submit(CellFixture::job("k", "q", 1, 1000));
+	f.tick(100);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	cell_set_term_valid(f.cell, true, f.now);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 3U);
+}
+
+TEST(Restart, TermThatAPollFindsFencedStartsNothingBeforeItIsConfirmed)
+{
+	StartedTask f;
+
+	ASSERT_EQ(f.starts.size(), 1U);
+	f.tick(100);
+	cell_set_term_valid(f.cell, true, f.now - 10);
+	cell_on_poll_failed(f.cell, f.minion, f.id.c_str(), CELL_REJECTED_FENCE,
+			    f.now, f.now);
+	f.submit(CellFixture::job("k", "q", 1, 1000));
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 1U);
+	cell_set_term_valid(f.cell, true, f.now);
+	f.tick(100);
+	EXPECT_EQ(f.starts.size(), 2U);
+}
