Offer no term to a daemon that the list does not let claim

A small holder offered its term to a larger daemon that had just connected and that the list of daemons does not name yet: that one would have to wait a minute before it may claim, and a small daemon could claim in its place. A follower now says that it should lead only when it may claim.

Links.FollowerThatTheListDoesNotNameIsOfferedNothing fails without the condition.

--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -542,7 +542,8 @@
 bool terms_should_lead(const struct terms *t, uint64_t now_ms)
 {
 	return !is_small(t) && !t->d->draining && t->loaded &&
-	       store_healthy(t, now_ms) && config_current(t->d->config);
+	       store_healthy(t, now_ms) && config_current(t->d->config) &&
+	       term_may_claim(own_listing(t), t->entered_ms, now_ms);
 }
 
 static uint64_t claim_delay(const struct terms *t, uint64_t now)
--- a/tests/links_test.cc
+++ b/tests/links_test.cc
@@ -879,3 +879,23 @@
 	c.run(3000);
 	EXPECT_FALSE(links_larger_followers(c.holder->d.links, TERM));
 }
+
+/* Guards against a term that is offered to a daemon that must wait a minute. */
+TEST(Links, FollowerThatTheListDoesNotNameIsOfferedNothing)
+{
+	CutOffCell c;
+	std::string list = stored;
+	Daemon *again;
+
+	c.second->d.conf.cpu_share = 0.12;
+	c.third->d.conf.cpu_share = 0.12;
+	answer(&c.fourth->ranges, TERM, c.holder->claimed, PF_OK, list);
+	c.run(1000);
+	ASSERT_EQ(links_followers(c.holder->d.links), 3U);
+	EXPECT_FALSE(links_larger_followers(c.holder->d.links, TERM));
+	c.second->running = false;
+	again = c.add("d2");
+	answer(&again->ranges, TERM, c.holder->claimed, PF_OK, list);
+	c.run(1000);
+	EXPECT_TRUE(links_larger_followers(c.holder->d.links, TERM));
+}
