Let no overtaken report set the clock of a minion back

Found by a review: up to six polls of a minion are open, and responses are used up to 5 s late. One that a later one of the same life had overtaken set the known clock back by its lateness: the next deadlines were below those sent already, so that polls renewed nothing, and starts were rejected as late. The lease that the holder counts erred to the long side, so that nothing ran twice.

A minion that had not responded to this term yet had 3 s for a response, one that had 5 s; with responses of 3 to 5 s a successor would never have contacted it. Both have 5 s now.

Poll.OvertakenReportDoesNotSetTheClockBack and Poll.NewMinionHasAsLongToRespondAsOthers failed before.

--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -811,6 +811,7 @@
 	struct cell_minion *m = cell_minion_get(cell, minion, id);
 	struct cell_open_poll poll;
 	bool another_life;
+	bool overtaken;
 	bool complete;
 
 	if (!m)
@@ -830,7 +831,8 @@
 		return;
 	}
 	m->reported_ms = now_ms;
-	if (sent_ms > m->report_sent_ms)
+	overtaken = sent_ms < m->report_sent_ms;
+	if (!overtaken)
 		m->report_sent_ms = sent_ms;
 	if (another_life) {
 		set_failing(m, false, now_ms);
@@ -848,9 +850,11 @@
 		m->born_unix_ms = report->born_unix_ms;
 	m->failing = false;
 	m->alive_ms = now_ms;
-	m->clock_known = true;
-	m->anchor_clock_ms = report->clock_ms;
-	m->anchor_ms = now_ms;
+	if (!overtaken || !m->clock_known) {
+		m->clock_known = true;
+		m->anchor_clock_ms = report->clock_ms;
+		m->anchor_ms = now_ms;
+	}
 	for (uint32_t i = 0; i < m->run_count; i++)
 		m->runs[i].in_report = false;
 	m->first_end = report->ended_count ? report->ended[0].number : 0;
--- a/lib/cell/poll.c
+++ b/lib/cell/poll.c
@@ -151,7 +151,9 @@
 	*out = (struct cell_poll){ .addr = m->info.addr,
 				   .id = m->info.id,
 				   .sent_ms = now_ms,
-				   .timeout_ms = POLL_RETRY_TIMEOUT_MS,
+				   .timeout_ms = m->failing
+							 ? POLL_RETRY_TIMEOUT_MS
+							 : POLL_TIMEOUT_MS,
 				   .fresh = m->failing };
 	poll->sent_ms = now_ms;
 	poll->wait_ms = 0;
--- a/tests/poll_test.cc
+++ b/tests/poll_test.cc
@@ -375,3 +375,38 @@
 	f.run(2000);
 	EXPECT_FALSE(f.latest(f.on).fresh);
 }
+
+TEST(Poll, OvertakenReportDoesNotSetTheClockBack)
+{
+	CellFixture f;
+	struct cell_report old = {};
+	struct cell_minion *m;
+	uint64_t deadline;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	m = cell_minion_get(f.cell, 0, nullptr);
+	old.born_unix_ms = f.born_unix_ms;
+	old.clock_ms = f.now - 50000; /* its clock now */
+	uint64_t old_sent = f.now;
+	f.tick(4000);
+	f.report(0, "m0", {}, {}, 10);
+	deadline = cell_minion_renew_lease(f.cell, m, f.now);
+	cell_on_report(f.cell, 0, "m0", &old, old_sent, f.now);
+	EXPECT_GE(cell_minion_renew_lease(f.cell, m, f.now), deadline);
+}
+
+TEST(Poll, NewMinionHasAsLongToRespondAsOthers)
+{
+	CellFixture f;
+	struct cell_poll p;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.list(1, 8000);
+	f.tick();
+	ASSERT_EQ(f.polls.size(), 1U);
+	ASSERT_TRUE(cell_poll_request(f.cell, 0, &p, f.now));
+	EXPECT_GE(p.timeout_ms, 3500U);
+}
