Keep a minion that has left while an order may still arrive there

Found by a review, two faults around a minion that dies with an unanswered start and comes back under its id.

Unlisted for 3 s, it was forgotten with the start, which may arrive until 10 s after it was sent. The next life was not found to be one, and the start was not stopped there: 0 stops and 2 starts of a task in the test. The minion is kept until the latest order to it can no longer arrive.

If the next life drained when it was first heard, the task was held by it, but the minion was not enrolled, so that it was never given up after it had gone: the job did not end. A minion with runs is given up whether it is enrolled or not.

Restart.StartIsStoppedInTheNextLifeOfAMinionThatWasUnlisted and Restart.TaskHeldByADrainingNextLifeIsReleasedWhenThatIsGone failed before; the same without unlisting and without draining passed.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -477,6 +477,7 @@
 				      uint64_t run);
 void cell_unanswered_remove(struct cell_minion *m, struct cell_run *run);
 void cell_unanswered_free(struct cell_minion *m);
+bool cell_order_may_arrive(const struct cell_minion *m, uint64_t now_ms);
 void cell_unanswered_stop(struct cell *cell, struct cell_minion *m,
 			  uint64_t now_ms);
 
--- a/lib/cell/minion.c
+++ b/lib/cell/minion.c
@@ -1084,7 +1084,8 @@
 
 	if (cell_poll_overdue(cell, m, now_ms))
 		poll_missed(cell, m, false, now_ms);
-	if (m->failing && m->enrolled && !leased && !m->inherited) {
+	if (m->failing && (m->enrolled || m->run_count) && !leased &&
+	    !m->inherited) {
 		/* A process that is cut off is not disconnected: it may run. */
 		if (m->disconnected)
 			cell_minion_blame(cell, m, now_ms);
@@ -1105,7 +1106,8 @@
 	    now_ms > m->unlisted_ms + UNLISTED_TIMEOUT_MS) {
 		if (m->enrolled)
 			minion_settle(cell, m, "left", 0, now_ms);
-		if (!cell_poll_is_open(m)) {
+		if (!cell_poll_is_open(m) &&
+		    !cell_order_may_arrive(m, now_ms)) {
 			minion_free(cell, m);
 			return;
 		}
--- a/lib/cell/unanswered.c
+++ b/lib/cell/unanswered.c
@@ -84,6 +84,16 @@
 	m->unanswered_capacity = 0;
 }
 
+/*
+ * Returns true if an order to the minion, whose response may be missing, may
+ * still arrive there.
+ */
+bool cell_order_may_arrive(const struct cell_minion *m, uint64_t now_ms)
+{
+	return m->deadline_sent_ms &&
+	       now_ms <= m->deadline_sent_ms + CELL_LATE_ORDER_MS;
+}
+
 /* Keeps the task from being started elsewhere if it waits for a start. */
 static void hold_task(struct cell *cell, const struct cell_minion *m,
 		      const struct cell_run *run)
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -61,6 +61,23 @@
 	}
 };
 
+struct cell_minion_info listed(const char *id, bool draining)
+{
+	struct cell_minion_info info = CellFixture::minion(id, 8000);
+
+	info.draining = draining;
+	return info;
+}
+
+void silent(CellFixture &f, uint32_t handle, const char *id, int ms)
+{
+	for (int i = 0; i < ms; i += 100) {
+		f.tick(100);
+		cell_on_poll_failed(f.cell, handle, id, CELL_NO_ANSWER, f.now,
+				    f.now);
+	}
+}
+
 } // namespace
 
 TEST(Restart, StartInFlightMayTakeEffectInTheNextLifeOfItsMinion)
@@ -481,3 +498,142 @@
 	f.tick(100);
 	EXPECT_EQ(f.starts.size(), 2U);
 }
+
+TEST(Restart, TaskHeldByADrainingNextLifeIsReleasedWhenThatIsGone)
+{
+	CellFixture f;
+	struct cell_minion_info info;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	cell_on_stop(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		     CELL_NO_ANSWER, f.now);
+	silent(f, 0, "m0", 6500);
+	f.durable();
+	ASSERT_EQ(f.settled.size(), 1U);
+	info = listed("m0", true);
+	cell_set_minions(f.cell, &info, 1, f.now);
+	f.born_unix_ms = 2;
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.tick(100);
+	cell_on_stop(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		     CELL_NO_ANSWER, f.now);
+	/* It leaves; another minion has room. */
+	info = listed("m1", false);
+	cell_set_minions(f.cell, &info, 1, f.now);
+	f.report(1, "m1", {}, {});
+	f.durable();
+	for (int i = 0; i < 600; i++) {
+		f.tick(100);
+		cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now,
+				    f.now);
+		f.report(1, "m1", {}, {});
+		f.durable();
+	}
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
+TEST(Restart, TaskHeldByANextLifeIsReleasedWhenThatIsGone)
+{
+	CellFixture f;
+	struct cell_minion_info info;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	cell_on_stop(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		     CELL_NO_ANSWER, f.now);
+	silent(f, 0, "m0", 6500);
+	f.durable();
+	info = listed("m0", false);
+	cell_set_minions(f.cell, &info, 1, f.now);
+	f.born_unix_ms = 2;
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.tick(100);
+	cell_on_stop(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		     CELL_NO_ANSWER, f.now);
+	info = listed("m1", false);
+	cell_set_minions(f.cell, &info, 1, f.now);
+	f.report(1, "m1", {}, {});
+	f.durable();
+	for (int i = 0; i < 600; i++) {
+		f.tick(100);
+		cell_on_poll_failed(f.cell, 0, "m0", CELL_NO_ANSWER, f.now,
+				    f.now);
+		f.report(1, "m1", {}, {});
+		f.durable();
+	}
+	EXPECT_EQ(f.starts.size(), 2U);
+}
+
+TEST(Restart, StartIsStoppedInTheNextLifeOfAMinionThatWasUnlisted)
+{
+	CellFixture f;
+	struct cell_minion_info info;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	ASSERT_EQ(f.starts.size(), 1U);
+	cell_on_start(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	cell_on_stop(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		     CELL_NO_ANSWER, f.now);
+	f.stops.clear();
+	cell_set_minions(f.cell, nullptr, 0, f.now);
+	silent(f, 0, "m0", 6500);
+	f.durable();
+	f.tick(100);
+	f.durable();
+	f.tick(100);
+	/* 7 s after the start, which may be carried out until 10 s after. */
+	info = listed("m0", false);
+	cell_set_minions(f.cell, &info, 1, f.now);
+	f.stops.clear();
+	f.born_unix_ms = 2;
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.tick(10);
+	EXPECT_EQ(f.stops.size(), 1U);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
+
+TEST(Restart, StartIsStoppedInTheNextLifeOfAMinionThatStayedListed)
+{
+	CellFixture f;
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.minions(1, 8000);
+	f.submit(CellFixture::job("j", "q", 1, 1000));
+	f.tick();
+	cell_on_start(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		      CELL_NO_ANSWER, f.now);
+	cell_on_stop(f.cell, 0, f.starts[0].task.c_str(), f.starts[0].run,
+		     CELL_NO_ANSWER, f.now);
+	silent(f, 0, "m0", 6500);
+	f.durable();
+	f.tick(100);
+	f.stops.clear();
+	f.born_unix_ms = 2;
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.tick(10);
+	EXPECT_EQ(f.stops.size(), 1U);
+	EXPECT_EQ(f.starts.size(), 1U);
+}
