Keep a lost daemon in the list for a minute

Found by a review: a daemon that was cut off from the holder for 10 s, or down for as long, was removed from the list of daemons. If the others were gone then, nobody held the cell for 62.5 s, the wait of a daemon that the list does not name; with the time of before, a minute, it claims at once. The price is that a holder without the store stops 1.5 s after its last confirmation if a daemon was lost within a minute before, in place of 10 s.

A daemon that enters the list in the same update that removes another one was counted under the name of that one; it has its own now.

Links.DaemonCutOffFromTheHolderTakesOverSoon (63.7 s) and Links.EntryBesideARemovalCountsUnderItsOwnName failed before.

--- a/jaycelld/links.c
+++ b/jaycelld/links.c
@@ -28,7 +28,7 @@
 #define HOLDER_TIMEOUT_MS 800
 #define FOLLOWER_TIMEOUT_MS 2000
 /* A daemon lost longer ago than this is considered removed. */
-#define LOST_FOLLOWER_MS 10000
+#define LOST_FOLLOWER_MS 60000
 #define FOLLOWERS_MAX 512
 #define BACKLOG 256
 
@@ -685,9 +685,11 @@
 	}
 	if (i == l->follower_count)
 		l->follower_count++;
-	if (!f->link && !f->was_listed && !f->listed) {
+	if (strcmp(f->name, name) != 0) {
 		snprintf(f->name, sizeof(f->name), "%s", name);
 		f->lost_ms = now;
+	} else if (!f->link && !f->was_listed && !f->listed) {
+		f->lost_ms = now;
 	}
 	f->listed = true;
 }
