Let a small daemon claim after large ones that are far from the store

Cause: all large daemons of the nearer region were cut off or killed. A small one there waited 120 ms and up to 40 ms, a large one in the farther region 60 ms and up to 40 ms, rounded up to ticks of 50 ms, and 24 ms for its claim. The small one claimed first; its recovery took 3 s over its link, and then it handed the term over, which began anew.

Change: small daemons wait 250 ms. Where only small ones are left a takeover takes 130 ms longer.

Terms.SmallDaemonLetsLargeFarOnesClaimFirst failed before.

--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -42,7 +42,8 @@
  * round trip to the store than FAR_RTT_MS, let others claim first.
  */
 #define SMALL_CPU_SHARE 0.2
-#define SMALL_DELAY_MS 120
+/* Longer than a far daemon with more cores needs, with jitter and a tick. */
+#define SMALL_DELAY_MS 250
 /* Within BOOT_MS of its start, a small daemon waits longer for larger ones. */
 #define BOOT_MS 3000
 #define SMALL_BOOT_DELAY_MS 600
--- a/tests/terms_test.cc
+++ b/tests/terms_test.cc
@@ -336,6 +336,21 @@
 	EXPECT_EQ(commits.size(), 1U);
 }
 
+/* Guards against a small daemon that claims before a large one that is far. */
+TEST(Terms, SmallDaemonLetsLargeFarOnesClaimFirst)
+{
+	static struct celld small;
+	struct terms *terms = start_terms(&small, "small", 0.12);
+	uint64_t now = loop_now_ms() + 4000;
+
+	terms_tick(terms, now);
+	/* 60 ms and up to 40 ms, a tick of 50 ms, and 24 ms to the store. */
+	terms_tick(terms, now + 174);
+	EXPECT_TRUE(commits.empty());
+	terms_tick(terms, now + 1000);
+	EXPECT_EQ(commits.size(), 1U);
+}
+
 /* Guards against a lowered lease_ms that shortens the wait of a successor. */
 TEST(Terms, ClaimStatesTheLeasesOfEarlierTerms)
 {
