review/12: a job runs after its cancel was answered with 410

Cause: a write of the store without an answer is sent again by the daemon that took the job, though its client has left, and a job that is not in the store yet is answered 410.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # could not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/jaycelld ] && [ -x target/review-3/cases ] || exit 2
-exec target/review-3/cases late-start review/12/record.txt
+exec target/review-3/cases cancelled review/12/record.txt
--- a/review/stand-3/cases.c
+++ b/review/stand-3/cases.c
@@ -43,64 +43,6 @@
 	snprintf(out, 64, "%s.0.%d.0", id, step);
 }
 
-#define LONG_JOB                                                        \
-	"{\"spec\":\"{\\\"run_ms\\\":30000}\",\"steps\":[{\"count\":1," \
-	"\"cpu\":4000,\"mem_mb\":4000,\"estimate_ms\":30000}]}"
-/* Makes its worker, of the other rack, the best fit for the next start. */
-#define NEIGHBOUR                                                       \
-	"{\"spec\":\"{\\\"run_ms\\\":45000}\",\"steps\":[{\"count\":1," \
-	"\"cpu\":4000,\"mem_mb\":4000,\"estimate_ms\":45000,"           \
-	"\"requires\":\"rack-1\"}]}"
-/* The pages let an order without an answer be carried out 2 to 12 s later. */
-#define LATE_MS 11500
-
-/*
- * TWICE: a start is not answered, and arrives after 11.5 s. Its worker crashes
- * after 9.5 s and is back, under its id, 0.9 s later.
- */
-static int late_start(void)
-{
-	const int number = 0x1201;
-	char task[64];
-	char state[24];
-	uint64_t at;
-	int w = -1;
-
-	open_cell(8);
-	task_name(number, 0, task);
-	if (trouble) {
-		for (int i = 0; i < 8; i++)
-			worker_delay_start(i, LATE_MS);
-	}
-	at = now_ms();
-	if (job_submit(0, number, LONG_JOB) != 200)
-		return 2;
-	if (trouble) {
-		while ((w = worker_delayed()) < 0 && now_ms() < at + 5000)
-			sleep_ms(5);
-		if (w < 0)
-			return 2;
-		at = now_ms();
-		for (int i = 0; i < 8; i++)
-			worker_delay_start(i, 0);
-		if (job_submit(1, number + 1, NEIGHBOUR) != 200)
-			return 2;
-		wait_until(at + 9500);
-		worker_crash(w);
-		wait_until(at + 10400);
-		worker_restart(w);
-	}
-	wait_until(at + 50000);
-	job_state(1, number, state);
-	note("client: GET job: %s; %d starts, at most %d runs at the same "
-	     "time, for %llu ms",
-	     state, task_starts(task), task_most(task),
-	     (unsigned long long)task_overlap_ms(task));
-	if (task_most(task) > 1)
-		return 1;
-	return strcmp(state, "completed") ? 2 : 0;
-}
-
 #define TWO_STEPS                                                          \
 	"{\"spec\":\"{\\\"run_ms\\\":2500}\",\"steps\":[{\"count\":1,"     \
 	"\"cpu\":4000,\"mem_mb\":4000,\"estimate_ms\":2500},{\"count\":1," \
@@ -133,47 +75,6 @@
 	return n;
 }
 
-/*
- * LOST: all machines are removed for good at the same time, and as many come at
- * other addresses 2 s later.
- */
-static int replaced(void)
-{
-	const int first = 0x1301;
-	char state[24];
-	int base = 0;
-	int unanswered = 0;
-	int idle;
-
-	open_cell(8);
-	for (int i = 0; i < JOBS; i++) {
-		if (job_submit(i % DAEMONS, first + i, TWO_STEPS) != 200)
-			return 2;
-	}
-	if (trouble) {
-		for (int d = 0; d < DAEMONS; d++)
-			daemon_signal(d, SIGKILL);
-		sleep_ms(2000);
-		base = DAEMONS;
-		for (int d = 0; d < DAEMONS; d++)
-			daemon_open(base + d);
-	}
-	note("the traffic has ended");
-	sleep_ms(FINISH_MS);
-	idle = count_idle(first, 1);
-	note("%d of %d accepted jobs are not done and have had no run for %d "
-	     "ms",
-	     idle, JOBS, IDLE_MS);
-	for (int i = 0; i < JOBS; i++) {
-		job_state(base + i % DAEMONS, first + i, state);
-		note("client: GET job %d at daemon %d: %s", i,
-		     base + i % DAEMONS, state);
-		unanswered += strcmp(state, "completed") != 0;
-	}
-	note("%d of %d accepted jobs are not answered for", unanswered, JOBS);
-	return idle && unanswered;
-}
-
 /* LOST: the operator removes a route while accepted jobs of it run. */
 static int route_removed(void)
 {
@@ -206,12 +107,61 @@
 	return idle ? 1 : done == JOBS ? 0 : 2;
 }
 
+#define ONE_TASK                                                        \
+	"{\"spec\":\"{\\\"run_ms\\\":25000}\",\"steps\":[{\"count\":1," \
+	"\"cpu\":4000,\"mem_mb\":4000,\"estimate_ms\":25000}]}"
+/* The client leaves after this time without an answer. */
+#define PATIENCE_MS 150
+/* The store carries out the write without an answer after this time. */
+#define WRITE_LATE_MS 1500
+#define CANCEL_MS 3000
+#define STOP_MS 400
+#define CONTACT_MS 4000
+
+/*
+ * UNASKED: the store's answer to the write of a job is lost. The client leaves
+ * and cancels the job, and is told that there is none; then it runs.
+ */
+static int cancelled(void)
+{
+	const int number = 0x1501;
+	uint64_t at;
+	char task[64];
+	char state[24];
+	int status;
+	int runs;
+
+	open_cell(8);
+	task_name(number, 0, task);
+	if (trouble)
+		store_lose_job_write(WRITE_LATE_MS);
+	status = job_submit_for(0, number, ONE_TASK, PATIENCE_MS);
+	if (status != (trouble ? 0 : 200))
+		return 2;
+	status = job_cancel(1, number);
+	at = now_ms();
+	if (status != 200 && status != 410)
+		return 2;
+	wait_until(at + CANCEL_MS + STOP_MS);
+	note("%d runs %d ms after the cancel", task_runs(task),
+	     CANCEL_MS + STOP_MS);
+	wait_until(at + WRITE_LATE_MS + CONTACT_MS + CANCEL_MS + STOP_MS);
+	runs = task_runs(task);
+	note("%d runs %d ms after the cancel, and no disruption for %d ms",
+	     runs, WRITE_LATE_MS + CONTACT_MS + CANCEL_MS + STOP_MS,
+	     CONTACT_MS + CANCEL_MS + STOP_MS);
+	wait_until(at + 30000);
+	job_state(2, number, state);
+	note("client: GET job: %s; %d starts, %d ends `done`", state,
+	     task_starts(task), task_dones(task));
+	return runs || task_dones(task);
+}
+
 static const struct {
 	const char *name;
 	int (*fn)(void);
 } cases[] = {
-	{ "late-start", late_start },
-	{ "replaced", replaced },
+	{ "cancelled", cancelled },
 	{ "route-removed", route_removed },
 };
 
--- a/review/stand-3/cell.c
+++ b/review/stand-3/cell.c
@@ -163,18 +163,36 @@
 	snprintf(out, 64, "/batch/%s", id);
 }
 
-int job_submit(int d, int number, const char *body)
+/* Submits a job; returns 0 if there is no answer within @patience_ms. */
+int job_submit_for(int d, int number, const char *body, int patience_ms)
 {
 	char path[64];
 	int status;
 
 	job_path(number, path);
 	status = http_call(daemons[d].port, "POST", path, queue_host, body,
-			   CALL_TIMEOUT_MS, NULL);
+			   patience_ms, NULL);
 	note("client: POST %s at daemon %d: %d", path, d, status);
 	return status;
 }
 
+int job_submit(int d, int number, const char *body)
+{
+	return job_submit_for(d, number, body, CALL_TIMEOUT_MS);
+}
+
+int job_cancel(int d, int number)
+{
+	char path[64];
+	int status;
+
+	job_path(number, path);
+	status = http_call(daemons[d].port, "DELETE", path, queue_host, NULL,
+			   CALL_TIMEOUT_MS, NULL);
+	note("client: DELETE %s at daemon %d: %d", path, d, status);
+	return status;
+}
+
 /* Returns the state that a daemon gives, or the status of its answer. */
 const char *job_state(int d, int number, char out[24])
 {
--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -1,4 +1,4 @@
-/* Time, the record, HTTP servers whose connections can be cut, and a client. */
+/* Time, the record, HTTP servers and a client. */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -19,7 +19,6 @@
 #define PORT_FIRST 12000
 #define PORT_COUNT 100
 #define PORT_SLOTS 150
-#define CONNS_MAX 512
 #define MESSAGE_MAX (4 << 20)
 
 pthread_mutex_t big_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -89,17 +88,14 @@
 
 struct port {
 	int number;
-	int listener; /* -1: closed */
+	int listener;
 	handler_fn handler;
 	void *ctx;
-	int conns[CONNS_MAX]; /* 0: none */
-	pthread_mutex_t lock;
 };
 
 struct conn {
 	struct port *port;
 	int fd;
-	int at;
 };
 
 static int open_listener(int number)
@@ -289,10 +285,6 @@
 			break;
 	}
 	free(buf);
-	pthread_mutex_lock(&c->port->lock);
-	if (c->port->conns[c->at] == c->fd)
-		c->port->conns[c->at] = 0;
-	pthread_mutex_unlock(&c->port->lock);
 	close(c->fd);
 	free(c);
 	return NULL;
@@ -316,29 +308,17 @@
 static void *accept_loop(void *arg)
 {
 	struct port *p = arg;
-	int listener = p->listener;
 
 	for (;;) {
-		int fd = accept4(listener, NULL, NULL, SOCK_CLOEXEC);
+		int fd = accept4(p->listener, NULL, NULL, SOCK_CLOEXEC);
 		struct conn *c;
 		int one = 1;
-		int at = 0;
 
 		if (fd < 0)
 			break;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-		pthread_mutex_lock(&p->lock);
-		while (at < CONNS_MAX && p->conns[at])
-			at++;
-		if (p->listener != listener || at == CONNS_MAX) {
-			pthread_mutex_unlock(&p->lock);
-			close(fd);
-			continue;
-		}
-		p->conns[at] = fd;
-		pthread_mutex_unlock(&p->lock);
 		c = malloc(sizeof(*c));
-		*c = (struct conn){ .port = p, .fd = fd, .at = at };
+		*c = (struct conn){ .port = p, .fd = fd };
 		spawn(serve, c);
 	}
 	return NULL;
@@ -351,39 +331,9 @@
 	p->number = number;
 	p->handler = handler;
 	p->ctx = ctx;
-	pthread_mutex_init(&p->lock, NULL);
-	port_reopen(p);
-	return p;
-}
-
-void port_reopen(struct port *p)
-{
 	p->listener = open_listener(p->number);
 	spawn(accept_loop, p);
-}
-
-void port_close(struct port *p)
-{
-	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
-	int listener;
-
-	pthread_mutex_lock(&p->lock);
-	listener = p->listener;
-	p->listener = -1;
-	shutdown(listener, SHUT_RDWR);
-	close(listener);
-	for (int i = 0; i < CONNS_MAX; i++) {
-		if (!p->conns[i])
-			continue;
-		setsockopt(p->conns[i], SOL_SOCKET, SO_LINGER, &reset,
-			   sizeof(reset));
-		shutdown(p->conns[i], SHUT_RDWR);
-		p->conns[i] = 0;
-	}
-	pthread_mutex_unlock(&p->lock);
-	pthread_mutex_lock(&big_lock);
-	pthread_cond_broadcast(&changed);
-	pthread_mutex_unlock(&big_lock);
+	return p;
 }
 
 int http_call(int port, const char *method, const char *path, const char *host,
@@ -411,9 +361,9 @@
 	n = snprintf(buf, MESSAGE_MAX,
 		     "%s %s HTTP/1.1\r\nHost: %s\r\n"
 		     "Content-Type: application/json\r\n"
-		     "Jayspoke-Deadline-Ms: %d\r\nConnection: close\r\n"
+		     "Jayspoke-Deadline-Ms: 3000\r\nConnection: close\r\n"
 		     "Content-Length: %zu\r\n\r\n%s",
-		     method, path, host, timeout_ms, text ? strlen(text) : 0,
+		     method, path, host, text ? strlen(text) : 0,
 		     text ? text : "");
 	status = 0;
 	if (!send_all(fd, buf, (size_t)n))
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -37,11 +37,9 @@
 /* Returns the status; *@body becomes the response, which the caller frees. */
 typedef int (*handler_fn)(void *ctx, struct request *r, json_t **body);
 
-/* A listening port whose connections can be cut. */
+/* A listening port. */
 struct port;
 struct port *port_open(int number, handler_fn handler, void *ctx);
-void port_close(struct port *p); /* refuses, and resets what is open */
-void port_reopen(struct port *p);
 int free_port(void);
 bool fd_is_dead(int fd);
 bool query_get(const char *query, const char *name, char *out, size_t size);
@@ -57,6 +55,8 @@
 extern int store_port;
 void store_open(void);
 void store_put(const char *key, const json_t *value);
+/* The next write of a job is not answered, and done after @delay_ms. */
+void store_lose_job_write(uint64_t delay_ms);
 
 /* worker.c */
 #define WORKERS_MAX 16
@@ -68,11 +68,6 @@
 int task_dones(const char *task);
 int task_most(const char *task);	    /* most runs at the same time */
 uint64_t task_overlap_ms(const char *task); /* two runs at the same time */
-void worker_crash(int w);
-void worker_restart(int w); /* under its id, with nothing of before */
-/* The next start of @w is not answered, and arrives after @delay_ms. */
-void worker_delay_start(int w, uint64_t delay_ms);
-int worker_delayed(void); /* the worker of that start, -1: none yet */
 
 /* cell.c */
 #define DAEMONS_MAX 8
@@ -85,6 +80,8 @@
 extern const char *queue_host;
 void job_id(int number, char out[20]);
 int job_submit(int d, int number, const char *body);
+int job_submit_for(int d, int number, const char *body, int patience_ms);
+int job_cancel(int d, int number);
 const char *job_state(int d, int number, char out[24]);
 
 #endif
--- a/review/stand-3/store.c
+++ b/review/stand-3/store.c
@@ -39,6 +39,7 @@
 static int lease_count = 1;
 static uint64_t revision = 1;
 int store_port;
+static uint64_t lose_ms; /* see store_lose_job_write() */
 
 static struct item *find(const char *key, bool add)
 {
@@ -281,6 +282,39 @@
 	return 200;
 }
 
+static bool writes_job(const struct request *r)
+{
+	json_t *puts = json_object_get(r->body, "puts");
+	const char *key = json_string_value(
+		json_object_get(json_array_get(puts, 0), "key"));
+
+	return key && !strncmp(key, "jay/job/", 8);
+}
+
+void store_lose_job_write(uint64_t delay_ms)
+{
+	pthread_mutex_lock(&big_lock);
+	lose_ms = delay_ms;
+	pthread_mutex_unlock(&big_lock);
+}
+
+/* Carries a write out late, if its condition still holds, and answers none. */
+static int lose_write(struct request *r)
+{
+	uint64_t at_ms = now_ms() + lose_ms;
+	json_t *body = NULL;
+
+	note("store: a write of a job gets no answer, and is late by %llu ms",
+	     (unsigned long long)lose_ms);
+	lose_ms = 0;
+	pthread_mutex_unlock(&big_lock);
+	wait_until(at_ms);
+	pthread_mutex_lock(&big_lock);
+	note("store: the late write: %d", post_txn(r, &body));
+	json_decref(body);
+	return 0;
+}
+
 static void end_lease(uint64_t id)
 {
 	leases[id].until_ms = 0;
@@ -305,8 +339,12 @@
 		status = get_range(r, body);
 	} else if (!strcmp(r->path, "/kv-watch")) {
 		status = get_watch(r, body);
+	} else if (!strcmp(r->path, "/kv-txn") && lose_ms && writes_job(r)) {
+		status = lose_write(r);
 	} else if (!strcmp(r->path, "/kv-txn")) {
 		status = post_txn(r, body);
+		if (status == 200 && writes_job(r))
+			note("store: a job is written");
 	} else if (!strcmp(r->path, "/kv-lease")) {
 		uint64_t ttl = number(r->body, "ttl_ms");
 
--- a/review/stand-3/worker.c
+++ b/review/stand-3/worker.c
@@ -53,7 +53,6 @@
 	uint64_t token;
 	uint64_t deadline; /* on its clock */
 	uint64_t next_end;
-	uint64_t delay_ms; /* of the next start, 0: none */
 	uint64_t beat_ms;
 	uint64_t sequence;
 	struct run runs[RUNS_MAX];
@@ -69,16 +68,12 @@
 	int starts;
 	int dones;
 	int running;
-	int most;
-	uint64_t overlap_ms; /* two runs or more at the same time */
-	uint64_t overlap_from;
 };
 
 static struct worker workers[WORKERS_MAX];
 static int worker_count;
 static struct tally tallies[TALLIES_MAX];
 static int tally_count;
-static int delayed = -1; /* worker whose start is late */
 
 static struct tally *tally(const char *task)
 {
@@ -97,23 +92,6 @@
 	return now_ms() - w->clock_from;
 }
 
-static void count_runs(const char *task, int change)
-{
-	struct tally *t = tally(task);
-
-	t->running += change;
-	if (t->running > t->most)
-		t->most = t->running;
-	if (t->running > 1 && !t->overlap_from) {
-		t->overlap_from = now_ms();
-		note("two runs of %s at the same time", task);
-	}
-	if (t->running < 2 && t->overlap_from) {
-		t->overlap_ms += now_ms() - t->overlap_from;
-		t->overlap_from = 0;
-	}
-}
-
 static struct floor *floor_of(struct worker *w, const char *task)
 {
 	for (int i = 0; i < w->floor_count; i++) {
@@ -147,7 +125,7 @@
 					      .run = r.run,
 					      .how = how };
 	snprintf(w->ends[w->end_count++].task, TASK_MAX, "%s", r.task);
-	count_runs(r.task, -1);
+	tally(r.task)->running--;
 	if (!strcmp(how, "done"))
 		tally(r.task)->dones++;
 	note("worker %s: %s run %llu ended %s", w->id, r.task,
@@ -303,7 +281,7 @@
 	t->starts++;
 	note("worker %s (life %llu): %s run %llu starts", w->id,
 	     (unsigned long long)w->life, task, (unsigned long long)run);
-	count_runs(task, 1);
+	t->running++;
 	*body = reply(w, NULL);
 	return 200;
 }
@@ -396,30 +374,6 @@
 	return 200;
 }
 
-/* Takes no notice of who asks: the caller has given up, or will. */
-static int start_later(struct worker *w, const json_t *order, uint64_t delay_ms)
-{
-	uint64_t at_ms = now_ms() + delay_ms;
-	json_t *body = NULL;
-
-	delayed = w->index;
-	note("worker %s (life %llu): %s run %llu is not answered, and on its "
-	     "way for %llu ms",
-	     w->id, (unsigned long long)w->life, text(order, "task"),
-	     (unsigned long long)number(order, "run"),
-	     (unsigned long long)delay_ms);
-	pthread_mutex_unlock(&big_lock);
-	wait_until(at_ms);
-	pthread_mutex_lock(&big_lock);
-	note("worker %s (life %llu): %s run %llu arrives late", w->id,
-	     (unsigned long long)w->life, text(order, "task"),
-	     (unsigned long long)number(order, "run"));
-	if (w->up)
-		start(w, order, &body);
-	json_decref(body);
-	return 0;
-}
-
 static int handle(void *ctx, struct request *r, json_t **body)
 {
 	struct worker *w = ctx;
@@ -431,11 +385,6 @@
 	} else if (r->expect[0] && strcmp(r->expect, w->id) != 0) {
 		*body = reply(w, NULL);
 		status = 421;
-	} else if (!strcmp(r->path, "/run-start") && w->delay_ms) {
-		uint64_t delay_ms = w->delay_ms;
-
-		w->delay_ms = 0;
-		status = start_later(w, r->body, delay_ms);
 	} else if (!strcmp(r->path, "/run-start")) {
 		status = start(w, r->body, body);
 	} else if (!strcmp(r->path, "/run-stop")) {
@@ -515,72 +464,3 @@
 	pthread_mutex_unlock(&big_lock);
 	return n;
 }
-
-int task_most(const char *task)
-{
-	int n;
-
-	pthread_mutex_lock(&big_lock);
-	n = tally(task)->most;
-	pthread_mutex_unlock(&big_lock);
-	return n;
-}
-
-uint64_t task_overlap_ms(const char *task)
-{
-	struct tally *t;
-	uint64_t ms;
-
-	pthread_mutex_lock(&big_lock);
-	t = tally(task);
-	ms = t->overlap_ms;
-	if (t->overlap_from)
-		ms += now_ms() - t->overlap_from;
-	pthread_mutex_unlock(&big_lock);
-	return ms;
-}
-
-void worker_crash(int w)
-{
-	note("worker %s (life %llu) crashes", workers[w].id,
-	     (unsigned long long)workers[w].life);
-	pthread_mutex_lock(&big_lock);
-	workers[w].up = false;
-	while (workers[w].run_count) {
-		struct run r = workers[w].runs[--workers[w].run_count];
-
-		count_runs(r.task, -1);
-		note("worker %s: %s run %llu is lost", workers[w].id, r.task,
-		     (unsigned long long)r.run);
-	}
-	pthread_mutex_unlock(&big_lock);
-	port_close(workers[w].port);
-}
-
-void worker_restart(int w)
-{
-	pthread_mutex_lock(&big_lock);
-	begin_life(&workers[w]);
-	note("worker %s starts again, life %llu", workers[w].id,
-	     (unsigned long long)workers[w].life);
-	pthread_mutex_unlock(&big_lock);
-	port_reopen(workers[w].port);
-}
-
-/* Returns the worker whose start is delayed, -1: none yet. */
-int worker_delayed(void)
-{
-	int w;
-
-	pthread_mutex_lock(&big_lock);
-	w = delayed;
-	pthread_mutex_unlock(&big_lock);
-	return w;
-}
-
-void worker_delay_start(int w, uint64_t delay_ms)
-{
-	pthread_mutex_lock(&big_lock);
-	workers[w].delay_ms = delay_ms;
-	pthread_mutex_unlock(&big_lock);
-}
