Call pending socket callbacks before closed sockets are freed

Cause: timers and deferred work run outside h2o_evloop_run(). A write that completes at once makes its socket pending. If it is closed before the next call, as the link of the holder is by "silent" after a query was sent on it, that call frees the socket and then goes through the pending ones.

The loop does not wait if there were pending callbacks, as they may leave deferred work; in the trial that work waited for the next timer.

Related paths: signals set flags that a timer reads, the release at SIGTERM and a reload run in that timer, and no other code calls h2o_evloop_run().

Evidence: on the two tests that close a socket end with a signal and the third fails (it waits for a timer of 100 ms, 20 of 20 times); with the change all pass.

--- a/common/loop.c
+++ b/common/loop.c
@@ -162,13 +162,6 @@
 
 	if (more)
 		return 0;
-	/*
-	 * Do not wait while socket callbacks are pending. Timers and deferred
-	 * work run outside h2o_evloop_run(), which calls the socket callbacks
-	 * that they made pending only after its wait.
-	 */
-	if (loop->h2o->_pending_as_client || loop->h2o->_pending_as_server)
-		return 0;
 	if (!loop->count)
 		return LOOP_MAX_WAIT_MS;
 	now = loop_now_ms();
@@ -179,6 +172,21 @@
 	return (int32_t)(loop->heap[0]->at_ms - now);
 }
 
+/*
+ * Calls the socket callbacks that code outside h2o_evloop_run() made pending:
+ * timers, deferred work, or what ran before the loop. h2o_evloop_run() frees
+ * closed sockets first, so that a socket that was written to and then closed
+ * must not be pending any more. Returns true if there were any.
+ */
+static bool loop_run_pending(struct loop *loop)
+{
+	bool any =
+		loop->h2o->_pending_as_client || loop->h2o->_pending_as_server;
+
+	h2o_timeout__do_post_callback(loop->h2o);
+	return any;
+}
+
 /*
  * Handles sockets, timers and deferred work until loop_stop(). May be called
  * again after it has returned.
@@ -188,10 +196,12 @@
 	bool more = false;
 
 	while (!loop->stopped) {
+		/* The callbacks may have left deferred work. */
+		if (loop_run_pending(loop))
+			more = true;
 		h2o_evloop_run(loop->h2o, loop_wait_ms(loop, more));
 		loop_fire_timers(loop);
-		if (loop->idle)
-			more = loop->idle(loop->idle_ctx);
+		more = loop->idle && loop->idle(loop->idle_ctx);
 	}
 	loop->stopped = false;
 }
