Split the starts of earlier terms from the unanswered ones

Reason: unanswered.c had two jobs, and names said "detached run" where a start may be meant. No change of behaviour.

--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -564,8 +564,8 @@
 void cell_detached_add(struct cell *cell, const char *task);
 void cell_run_detach(struct cell *cell, struct cell_run *run);
 void cell_detached_remove(struct cell *cell, const char *task);
-bool cell_task_has_detached_run(const struct cell *cell,
-				const struct cell_step *step, uint32_t index);
+bool cell_task_has_former_run(const struct cell *cell,
+			      const struct cell_step *step, uint32_t index);
 void cell_detached_free(struct cell *cell);
 
 /* unanswered.c */
@@ -588,13 +588,19 @@
 			      void (*emit)(void *ctx,
 					   const struct cell_record *record),
 			      void *ctx);
-void cell_former_start_add(struct cell *cell, const char *task, uint64_t run);
-void cell_former_start_over(struct cell *cell, const char *task, uint64_t run);
-void cell_former_starts_expire(struct cell *cell, uint64_t now_ms);
 bool cell_order_may_arrive(const struct cell_minion *m, uint64_t now_ms);
 void cell_unanswered_stop(struct cell *cell, struct cell_minion *m,
 			  uint64_t now_ms);
 
+/* former_start.c */
+void cell_former_start_add(struct cell *cell, const char *task, uint64_t run);
+void cell_former_start_over(struct cell *cell, const char *task, uint64_t run);
+void cell_former_starts_expire(struct cell *cell, uint64_t now_ms);
+void cell_former_starts_snapshot(const struct cell *cell,
+				 void (*emit)(void *ctx,
+					      const struct cell_record *record),
+				 void *ctx);
+
 /* pace.c */
 bool cell_minion_needs_pacing(const struct cell_minion *m);
 uint32_t cell_minion_poll_wait_ms(const struct cell *cell,
--- a/lib/cell/detached.c
+++ b/lib/cell/detached.c
@@ -61,8 +61,8 @@
 }
 
 /* Returns true if a former run or start of the task may still take effect. */
-bool cell_task_has_detached_run(const struct cell *cell,
-				const struct cell_step *step, uint32_t index)
+bool cell_task_has_former_run(const struct cell *cell,
+			      const struct cell_step *step, uint32_t index)
 {
 	char name[CELL_TASK_MAX];
 
--- a/lib/cell/isolate.c
+++ b/lib/cell/isolate.c
@@ -195,7 +195,7 @@
 	struct cell_minion *m;
 
 	if (cell->durable_seq < task->crash_seq ||
-	    cell_task_has_detached_run(cell, step, index) ||
+	    cell_task_has_former_run(cell, step, index) ||
 	    !cell_team_permits(cell, step, now_ms))
 		return;
 	cell_step_name(step, index, name);
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -362,15 +362,15 @@
 		    uint32_t index)
 {
 	return step->tasks[index].state == CELL_TASK_READY &&
-	       !cell_task_has_detached_run(cell, step, index);
+	       !cell_task_has_former_run(cell, step, index);
 }
 
 /* Returns true if a former run or start of the step may still take effect. */
-static bool has_detached_runs(const struct cell *cell,
-			      const struct cell_step *step)
+static bool has_former_runs(const struct cell *cell,
+			    const struct cell_step *step)
 {
 	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (cell_task_has_detached_run(cell, step, i))
+		if (cell_task_has_former_run(cell, step, i))
 			return true;
 	}
 	return false;
@@ -382,7 +382,7 @@
 	if (!cell->detached)
 		return true;
 	if (step->spec->gang)
-		return !has_detached_runs(cell, step);
+		return !has_former_runs(cell, step);
 	for (uint32_t i = 0; i < step->spec->count; i++) {
 		if (is_free(cell, step, i))
 			return true;
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -86,6 +86,7 @@
 	HASH_ITER(hh, cell->jobs, job, tmp)
 	emit_job(&e, job);
 	cell_unanswered_snapshot(cell, emit, ctx);
+	cell_former_starts_snapshot(cell, emit, ctx);
 	cell_expired_snapshot(cell, emit, ctx);
 	cell_contain_snapshot(cell, emit, ctx);
 }
--- a/lib/cell/unanswered.c
+++ b/lib/cell/unanswered.c
@@ -4,7 +4,6 @@
  * that restarts under the same id knows of neither, so the starts are stopped
  * again in its next life, and their tasks wait until they can no longer arrive.
  */
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -109,18 +108,23 @@
 	cell_detached_add(cell, run->task);
 }
 
+static struct cell_record unanswered_record(const struct cell_run *run)
+{
+	return (struct cell_record){ .kind = CELL_RECORD_UNANSWERED,
+				     .task = run->task,
+				     .run = run->run };
+}
+
 /* Journals that a start had no response: a successor holds its task as well. */
 void cell_unanswered_record(struct cell *cell, struct cell_run *run,
 			    uint64_t now_ms)
 {
+	struct cell_record record = unanswered_record(run);
+
 	if (run->acked_ms || run->ticket)
 		return;
 	run->unanswered = true;
-	cell_record_add(cell,
-			&(struct cell_record){ .kind = CELL_RECORD_UNANSWERED,
-					       .task = run->task,
-					       .run = run->run },
-			NULL, NULL, 0, now_ms);
+	cell_record_add(cell, &record, NULL, NULL, 0, now_ms);
 }
 
 /*
@@ -146,16 +150,7 @@
 	m->unanswered_capacity = 0;
 }
 
-static void
-emit_start(const char *task, uint64_t run,
-	   void (*emit)(void *ctx, const struct cell_record *record), void *ctx)
-{
-	emit(ctx, &(struct cell_record){ .kind = CELL_RECORD_UNANSWERED,
-					 .task = task,
-					 .run = run });
-}
-
-/* Passes the starts without a response to @emit, for a snapshot. */
+/* Passes the starts of this term without a response to @emit. */
 void cell_unanswered_snapshot(const struct cell *cell,
 			      void (*emit)(void *ctx,
 					   const struct cell_record *record),
@@ -165,77 +160,21 @@
 		const struct cell_minion *m = cell->minions[i];
 
 		for (uint32_t k = 0; m->used && k < m->run_count; k++) {
-			const struct cell_run *run = &m->runs[k];
+			struct cell_record record =
+				unanswered_record(&m->runs[k]);
 
-			if (run->unanswered && !run->acked_ms)
-				emit_start(run->task, run->run, emit, ctx);
+			if (m->runs[k].unanswered && !m->runs[k].acked_ms)
+				emit(ctx, &record);
 		}
-		for (uint32_t k = 0; k < m->unanswered_count; k++)
-			emit_start(m->unanswered[k].task, m->unanswered[k].run,
-				   emit, ctx);
-	}
-	for (uint32_t i = 0; i < cell->former_start_count; i++)
-		emit_start(cell->former_starts[i].task,
-			   cell->former_starts[i].run, emit, ctx);
-}
-
-/*
- * Keeps a start of an earlier term that had no response. A life that this term
- * has contacted rejects its token, but a later one may carry it out.
- */
-void cell_former_start_add(struct cell *cell, const char *task, uint64_t run)
-{
-	struct cell_step *step;
-	const struct cell_task *t = cell_task_find(cell, task, &step);
-	struct cell_former_start *start;
-
-	if (!t || cell_task_ended(t, run))
-		return;
-	cell_grow((void **)&cell->former_starts, &cell->former_start_capacity,
-		  cell->former_start_count, sizeof(*cell->former_starts));
-	start = &cell->former_starts[cell->former_start_count++];
-	*start = (struct cell_former_start){ .run = run };
-	snprintf(start->task, sizeof(start->task), "%s", task);
-	cell_detached_add(cell, task);
-}
-
-static void former_start_remove(struct cell *cell, uint32_t at)
-{
-	cell_detached_remove(cell, cell->former_starts[at].task);
-	cell->former_starts[at] =
-		cell->former_starts[--cell->former_start_count];
-}
-
-/*
- * Handles that @run of the task is known: no earlier start may arrive, else
- * it would not have been started.
- */
-void cell_former_start_over(struct cell *cell, const char *task, uint64_t run)
-{
-	uint32_t i = 0;
-
-	while (i < cell->former_start_count) {
-		const struct cell_former_start *start = &cell->former_starts[i];
+		for (uint32_t k = 0; k < m->unanswered_count; k++) {
+			struct cell_record record =
+				unanswered_record(&m->unanswered[k]);
 
-		if (start->run <= run && !strcmp(start->task, task))
-			former_start_remove(cell, i);
-		else
-			i++;
+			emit(ctx, &record);
+		}
 	}
 }
 
-/* Releases the tasks of former starts, which were sent before this term. */
-void cell_former_starts_expire(struct cell *cell, uint64_t now_ms)
-{
-	if (now_ms <= cell->started_ms + CELL_LATE_ORDER_MS)
-		return;
-	while (cell->former_start_count)
-		former_start_remove(cell, 0);
-	free(cell->former_starts);
-	cell->former_starts = NULL;
-	cell->former_start_capacity = 0;
-}
-
 /*
  * Returns true if an order to the minion, whose response may be missing, may
  * still arrive there.
