Count the occurrences that are due instead of storing them

Cause: cell_jobs_add_due() added all occurrences that were due, 330 bytes each, kept them until the job ended, and a successor did so again. A known run added all occurrences before its own. With the memory bounded, later jobs still did not start: all occurrences had the deadline of their job, long past.

Change: a job adds its oldest occurrences while fewer than 256 of their tasks wait for a first start. What is done is a set of numbers, and done occurrences are freed. A known run adds its own occurrence. An occurrence that waited for others of its job counts its objective from when it is added; of one job the oldest goes first.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -600,6 +600,7 @@
 	case CELL_RECORD_CANCEL:
 	case CELL_RECORD_STATE:
 	case CELL_RECORD_CONTAINED:
+	case CELL_RECORD_OCCURRENCES:
 		return record->job;
 	default:
 		return record->minion;
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -93,16 +93,18 @@
 	/* A queue, in @job, was contained or released, in @run. */
 	CELL_RECORD_CONTAINED,
 	CELL_RECORD_UNANSWERED, /* a start had no response */
+	/* Occurrences of a job are done: from @run >> 32 to below @run. */
+	CELL_RECORD_OCCURRENCES,
 	CELL_RECORD_KINDS
 };
 
 /* A journal record. Pointers are valid during the call. */
 struct cell_record {
 	enum cell_record_kind kind;
-	const char *job;	/* CANCEL, STATE; CONTAINED: a queue */
-	const char *task;	/* END, CRASH, CLEARED, UNANSWERED */
-	uint64_t run;		/* as task; STATE: the state */
-	enum cell_end end;	/* END */
+	const char *job;   /* CANCEL, STATE, OCCURRENCES; CONTAINED: a queue */
+	const char *task;  /* END, CRASH, CLEARED, UNANSWERED */
+	uint64_t run;	   /* as task; STATE: the state */
+	enum cell_end end; /* END */
 	const char *checkpoint; /* END; NULL or empty: none */
 	const char *minion;
 	const char *addr; /* ENROLLED */
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -3,6 +3,7 @@
 #define JAYSPOKE_CELL_INT_H
 
 #include "cell/cell.h"
+#include "cell/numset.h"
 #include "rtt.h"
 
 #include <uthash.h>
@@ -68,7 +69,8 @@
 	uint32_t most_fails; /* failed attempts, of the task with the most */
 	uint32_t crashes;    /* of all tasks */
 	uint64_t unblocked_ms;
-	bool unblocked; /* all steps it depends on are done */
+	uint64_t deadline_unix_ms; /* of its job, or of its occurrence */
+	bool unblocked;		   /* all steps it depends on are done */
 	bool in_ready_list;
 	bool advice_in_flight;
 	uint64_t advice_after_ms;
@@ -113,8 +115,13 @@
 	uint64_t ended_ms;
 	bool inherited; /* an earlier holder may have started runs */
 	bool started;	/* a minion has started a task */
+	/* Those that were added and are not done; a few that are, see job.c. */
 	uint32_t occurrence_count;
+	uint32_t occurrences_ended; /* of these */
 	struct cell_occurrence *occurrences;
+	uint32_t next_occurrence; /* the next to be added when it is due */
+	struct numset occurrences_done;
+	struct cell_job *next; /* while it is being freed */
 	UT_hash_handle hh;
 };
 
--- a/lib/cell/explain_place.c
+++ b/lib/cell/explain_place.c
@@ -191,6 +191,7 @@
 	s.tasks_left = s.spec->count;
 	job.spec.repeat_count = 0;
 	job.deadline_unix_ms = cell_job_deadline(cell, spec);
+	s.deadline_unix_ms = job.deadline_unix_ms;
 	queue.advice.needed = false;
 	s.tasks = calloc(s.spec->count, sizeof(*s.tasks));
 	candidates = calloc(cell->minion_count + 1, sizeof(*candidates));
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -8,6 +8,10 @@
 /* An occurrence that a minion reports is due that much earlier at most, in ms.
  */
 #define CLOCK_AHEAD_MAX_MS 60000
+/* Tasks of occurrences that are due and wait for their first start, a job. */
+#define OCCURRENCE_TASKS_WAITING 256
+/* Occurrences that are done are freed together, so many of a job at a time. */
+#define OCCURRENCES_ENDED_MAX 64
 
 static const char *const state_names[CELL_JOB_STATES] = {
 	[CELL_JOB_UNKNOWN] = "unknown", [CELL_JOB_QUEUED] = "queued",
@@ -71,7 +75,7 @@
 	return job;
 }
 
-static struct cell_occurrence *occurrence_find(struct cell_job *job,
+static struct cell_occurrence *occurrence_find(const struct cell_job *job,
 					       uint32_t number)
 {
 	for (uint32_t i = 0; i < job->occurrence_count; i++) {
@@ -81,6 +85,13 @@
 	return NULL;
 }
 
+/* Returns true if the occurrence was added, whether it is done or not. */
+static bool occurrence_is_known(const struct cell_job *job, uint32_t number)
+{
+	return numset_has(&job->occurrences_done, number) ||
+	       occurrence_find(job, number);
+}
+
 /* Returns the step of the task @name, or NULL if it is unknown or was freed. */
 struct cell_step *cell_step_find(const struct cell *cell,
 				 const struct cell_task_name *name)
@@ -186,6 +197,31 @@
 	}
 }
 
+/* Returns when an occurrence of a recurring job is due, in Unix ms. */
+static uint64_t due_unix_ms(const struct cell_job *job, uint32_t occurrence)
+{
+	return job->spec.first_unix_ms +
+	       (uint64_t)occurrence * job->spec.interval_ms;
+}
+
+/*
+ * Returns by when an occurrence that is added now should be done. One that has
+ * waited for others of its job counts from now: as its backlog would always be
+ * the most urgent work, no later job would start.
+ */
+static uint64_t occurrence_deadline(const struct cell *cell,
+				    const struct cell_job *job, uint32_t number)
+{
+	uint64_t objective = job->deadline_unix_ms - job->spec.accepted_unix_ms;
+	uint64_t from = due_unix_ms(job, number);
+
+	if (!job->spec.repeat_count)
+		return job->deadline_unix_ms;
+	if (from < cell->unix_ms)
+		from = cell->unix_ms;
+	return from + objective;
+}
+
 static void occurrence_add(struct cell *cell, struct cell_job *job,
 			   uint32_t number, uint64_t now_ms)
 {
@@ -209,6 +245,7 @@
 		step->occurrence = number;
 		step->index = i;
 		step->tasks_left = step->spec->count;
+		step->deadline_unix_ms = occurrence_deadline(cell, job, number);
 		step->tasks = calloc(step->spec->count, sizeof(*step->tasks));
 		if (!step->tasks)
 			abort();
@@ -219,37 +256,55 @@
 	unblock_steps(cell, job, o, now_ms);
 }
 
-static void occurrences_free(struct cell *cell, struct cell_job *job)
+static void occurrence_free(const struct cell_job *job,
+			    struct cell_occurrence *o)
+{
+	for (uint32_t s = 0; s < job->spec.step_count; s++) {
+		struct cell_step *step = &o->steps[s];
+
+		for (uint32_t t = 0; t < step->spec->count; t++) {
+			free(step->tasks[t].checkpoint);
+			free(step->tasks[t].ended);
+			free(step->tasks[t].crashes);
+		}
+		free(step->gang_failed);
+		free(step->tasks);
+		free(step->grants);
+		free(step->decided);
+	}
+	free(o->steps);
+}
+
+/* Frees all occurrences of a job, or those that are done. */
+static void occurrences_free(struct cell *cell, struct cell_job *job, bool all)
 {
 	uint32_t deferred = cell->deferred_from;
 	uint32_t kept = 0;
 
 	for (uint32_t i = 0; i < cell->ready_count; i++) {
-		if (cell->ready[i]->job != job)
-			cell->ready[kept++] = cell->ready[i];
+		struct cell_step *step = cell->ready[i];
+
+		if (step->job != job || (!all && step->tasks_left))
+			cell->ready[kept++] = step;
 		else if (deferred != CELL_NONE && i < deferred)
 			cell->deferred_from--;
+		if (step->job == job && !all && !step->tasks_left)
+			step->in_ready_list = false;
 	}
 	cell->ready_count = kept;
+	kept = 0;
 	for (uint32_t i = 0; i < job->occurrence_count; i++) {
-		for (uint32_t s = 0; s < job->spec.step_count; s++) {
-			struct cell_step *step = &job->occurrences[i].steps[s];
-
-			for (uint32_t t = 0; t < step->spec->count; t++) {
-				free(step->tasks[t].checkpoint);
-				free(step->tasks[t].ended);
-				free(step->tasks[t].crashes);
-			}
-			free(step->gang_failed);
-			free(step->tasks);
-			free(step->grants);
-			free(step->decided);
-		}
-		free(job->occurrences[i].steps);
+		if (all || !job->occurrences[i].steps_left)
+			occurrence_free(job, &job->occurrences[i]);
+		else
+			job->occurrences[kept++] = job->occurrences[i];
 	}
+	job->occurrence_count = kept;
+	job->occurrences_ended = 0;
+	if (kept)
+		return;
 	free(job->occurrences);
 	job->occurrences = NULL;
-	job->occurrence_count = 0;
 }
 
 static uint64_t job_age_ms(const struct cell_job *job, uint64_t unix_ms)
@@ -315,13 +370,6 @@
 	return true;
 }
 
-/* Returns when an occurrence of a recurring job is due, in Unix ms. */
-static uint64_t due_unix_ms(const struct cell_job *job, uint32_t occurrence)
-{
-	return job->spec.first_unix_ms +
-	       (uint64_t)occurrence * job->spec.interval_ms;
-}
-
 /* Returns true unless the step is of an occurrence that is still to come. */
 bool cell_step_is_due(const struct cell *cell, const struct cell_step *step)
 {
@@ -330,23 +378,23 @@
 }
 
 /*
- * Adds the occurrences of a recurring job up to that of the task, of which a
- * run is known: it was due by the clock of an earlier holder.
+ * Adds the occurrence of the task, of which a run is known: it was due by the
+ * clock of an earlier holder.
  */
-static void add_known_occurrences(struct cell *cell,
-				  const struct cell_task_name *name,
-				  uint64_t now_ms)
+static void add_known_occurrence(struct cell *cell,
+				 const struct cell_task_name *name,
+				 uint64_t now_ms)
 {
 	struct cell_job *job = cell_job_find(cell, name->job);
 
 	if (!job || name->occurrence >= job->spec.repeat_count ||
-	    (job->state != CELL_JOB_QUEUED && job->state != CELL_JOB_RUNNING))
+	    (job->state != CELL_JOB_QUEUED && job->state != CELL_JOB_RUNNING) ||
+	    occurrence_is_known(job, name->occurrence))
 		return;
 	if (!cell->replaying && due_unix_ms(job, name->occurrence) >
 					cell->unix_ms + CLOCK_AHEAD_MAX_MS)
 		return;
-	while (job->occurrence_count <= name->occurrence)
-		occurrence_add(cell, job, job->occurrence_count, now_ms);
+	occurrence_add(cell, job, name->occurrence, now_ms);
 }
 
 /* As cell_task_find(), for a task of which a run is known. */
@@ -356,10 +404,64 @@
 	struct cell_task_name name;
 
 	if (cell_task_parse(task, &name))
-		add_known_occurrences(cell, &name, now_ms);
+		add_known_occurrence(cell, &name, now_ms);
 	return cell_task_find(cell, task, step);
 }
 
+/* Returns true if a task of the occurrence was started, or is done. */
+static bool occurrence_begun(const struct cell_job *job,
+			     const struct cell_occurrence *o)
+{
+	for (uint32_t s = 0; s < job->spec.step_count; s++) {
+		const struct cell_step *step = &o->steps[s];
+
+		if (step->tasks_active || step->tasks_left < step->spec->count)
+			return true;
+	}
+	return false;
+}
+
+/* Returns how many more occurrences may wait for their first start. */
+static uint32_t occurrence_room(const struct cell_job *job)
+{
+	uint32_t tasks = 0;
+	uint32_t most;
+	uint32_t waiting = 0;
+
+	for (uint32_t s = 0; s < job->spec.step_count; s++)
+		tasks += job->spec.steps[s].count;
+	most = tasks && tasks < OCCURRENCE_TASKS_WAITING
+		       ? OCCURRENCE_TASKS_WAITING / tasks
+		       : 1;
+	for (uint32_t i = 0; i < job->occurrence_count; i++)
+		waiting += !occurrence_begun(job, &job->occurrences[i]);
+	return waiting < most ? most - waiting : 0;
+}
+
+/*
+ * Adds the occurrences of a job that are due, the oldest first: as many as may
+ * start soon. The others are only counted.
+ */
+static void job_add_due(struct cell *cell, struct cell_job *job,
+			uint64_t unix_ms, uint64_t now_ms)
+{
+	uint32_t room;
+
+	if (job->next_occurrence >= job->spec.repeat_count ||
+	    unix_ms < due_unix_ms(job, job->next_occurrence))
+		return;
+	room = occurrence_room(job);
+	while (room && job->next_occurrence < job->spec.repeat_count &&
+	       unix_ms >= due_unix_ms(job, job->next_occurrence)) {
+		uint32_t number = job->next_occurrence++;
+
+		if (occurrence_is_known(job, number))
+			continue;
+		occurrence_add(cell, job, number, now_ms);
+		room--;
+	}
+}
+
 /* Adds the occurrences of recurring jobs that are due. */
 void cell_jobs_add_due(struct cell *cell, uint64_t unix_ms, uint64_t now_ms)
 {
@@ -370,26 +472,16 @@
 		return;
 	HASH_ITER(hh, cell->jobs, job, tmp)
 	{
-		if (!job->spec.repeat_count || !job_is_live(job))
-			continue;
-		while (job->occurrence_count < job->spec.repeat_count &&
-		       unix_ms >= due_unix_ms(job, job->occurrence_count))
-			occurrence_add(cell, job, job->occurrence_count,
-				       now_ms);
+		if (job->spec.repeat_count && job_is_live(job))
+			job_add_due(cell, job, unix_ms, now_ms);
 	}
 }
 
 static bool job_is_done(const struct cell_job *job)
 {
-	uint32_t expected = job->spec.repeat_count ? job->spec.repeat_count : 1;
-
-	if (job->occurrence_count < expected)
-		return false;
-	for (uint32_t i = 0; i < job->occurrence_count; i++) {
-		if (job->occurrences[i].steps_left)
-			return false;
-	}
-	return true;
+	if (job->spec.repeat_count)
+		return job->occurrences_done.count >= job->spec.repeat_count;
+	return job->occurrence_count && !job->occurrences[0].steps_left;
 }
 
 /* A durable cancel is final; other pending records do not matter. */
@@ -423,7 +515,7 @@
 					 .detail = state_names[job->state],
 					 .age_ms = now_ms - job->added_ms });
 	cell_team_keep_left(job);
-	occurrences_free(cell, job);
+	occurrences_free(cell, job, true);
 }
 
 /* Returns true if @task is the name of a task of the job. */
@@ -558,6 +650,10 @@
 
 	o->steps_left--;
 	unblock_steps(cell, job, o, now_ms);
+	if (!o->steps_left && job->spec.repeat_count) {
+		numset_add(&job->occurrences_done, o->number);
+		job->occurrences_ended++;
+	}
 	if (job_is_done(job) && job->final_state == CELL_JOB_UNKNOWN)
 		job->final_state = CELL_JOB_COMPLETED;
 }
@@ -753,9 +849,23 @@
 	else if (end->end == CELL_END_FAILED)
 		task_failed(cell, step, task, end->run, minion, now_ms);
 	cell_task_release(cell, end->task, end->run, now_ms);
+	if (step->job->occurrences_ended >= OCCURRENCES_ENDED_MAX)
+		occurrences_free(cell, step->job, false);
 	return true;
 }
 
+/* Replays that a range of occurrences is done. */
+static void replay_occurrences(struct cell_job *job, uint64_t range)
+{
+	uint32_t end = (uint32_t)range;
+
+	if (end > job->spec.repeat_count)
+		end = job->spec.repeat_count;
+	numset_add_range(&job->occurrences_done, (uint32_t)(range >> 32), end);
+	if (end)
+		cell_job_mark_started(job);
+}
+
 /* Replays one journal record of an earlier term; records come in order. */
 void cell_replay(struct cell *cell, const struct cell_record *record)
 {
@@ -797,6 +907,11 @@
 	case CELL_RECORD_UNANSWERED:
 		cell_former_start_add(cell, record->task, record->run);
 		break;
+	case CELL_RECORD_OCCURRENCES:
+		job = cell_job_find(cell, record->job);
+		if (job)
+			replay_occurrences(job, record->run);
+		break;
 	case CELL_RECORD_KINDS:
 		break;
 	}
@@ -846,11 +961,12 @@
 	return n;
 }
 
+/* Frees a job that is no longer in cell->jobs. */
 static void job_free(struct cell *cell, struct cell_job *job)
 {
-	occurrences_free(cell, job);
+	occurrences_free(cell, job, true);
+	numset_free(&job->occurrences_done);
 	cell->recurring_jobs -= job->spec.repeat_count > 0;
-	HASH_DEL(cell->jobs, job);
 	cell_job_spec_free(&job->spec);
 	free(job);
 }
@@ -871,15 +987,26 @@
 			cell->owner->ops->job_expired(cell->owner,
 						      job->spec.id);
 		}
+		HASH_DEL(cell->jobs, job);
 		job_free(cell, job);
 	}
 }
 
 void cell_jobs_free(struct cell *cell)
 {
+	struct cell_job *list = NULL;
 	struct cell_job *job;
 	struct cell_job *tmp;
 
 	HASH_ITER(hh, cell->jobs, job, tmp)
-	job_free(cell, job);
+	{
+		job->next = list;
+		list = job;
+	}
+	HASH_CLEAR(hh, cell->jobs);
+	while (list) {
+		job = list;
+		list = job->next;
+		job_free(cell, job);
+	}
 }
--- a/lib/cell/learn.c
+++ b/lib/cell/learn.c
@@ -255,13 +255,13 @@
 	uint64_t early;
 
 	if (!cell->learn)
-		return job->deadline_unix_ms;
+		return step->deadline_unix_ms;
 	own = cell_learn_step_ms(cell, job->spec.queue, step->spec);
 	early = cell_learn_rest_ms(cell, step);
 	if (own > step->spec->estimate_ms)
 		early += own - step->spec->estimate_ms;
-	return job->deadline_unix_ms > early ? job->deadline_unix_ms - early
-					     : 0;
+	return step->deadline_unix_ms > early ? step->deadline_unix_ms - early
+					      : 0;
 }
 
 /*
@@ -272,7 +272,7 @@
 void cell_learn_rank(const struct cell *cell, const struct cell_step *step,
 		     struct cell_candidate *c, uint32_t count)
 {
-	uint64_t deadline = step->job->deadline_unix_ms;
+	uint64_t deadline = step->deadline_unix_ms;
 	uint64_t best = UINT64_MAX;
 	uint64_t rest;
 
--- a/lib/cell/place.c
+++ b/lib/cell/place.c
@@ -250,7 +250,7 @@
 	if (job->state == CELL_JOB_QUEUED)
 		job->state = CELL_JOB_RUNNING;
 	placed = cell_run_add(m, start.task, run, step->spec, &held, now_ms);
-	placed->late = cell->unix_ms > job->deadline_unix_ms &&
+	placed->late = cell->unix_ms > step->deadline_unix_ms &&
 		       cell_contain_active(cell, job->spec.queue);
 	placed->team = job->team;
 	placed->timeout_ms = start.timeout_ms;
@@ -464,6 +464,8 @@
 	by_id = strcmp(x->id, y->id);
 	if (by_id)
 		return by_id;
+	if (x->step->occurrence != y->step->occurrence)
+		return x->step->occurrence < y->step->occurrence ? -1 : 1;
 	return x->step->index < y->step->index ? -1 : 1;
 }
 
@@ -583,7 +585,7 @@
 	entry->priority = entry->queue->priority;
 	entry->deadline_ms = cell_learn_deadline(cell, step);
 	entry->id = step->job->spec.id;
-	entry->late = cell->unix_ms > step->job->deadline_unix_ms &&
+	entry->late = cell->unix_ms > step->deadline_unix_ms &&
 		      cell_contain_active(cell, entry->queue->name);
 	entry->crashes = cell_suspect_crashes(step);
 	return true;
--- a/lib/cell/reserve.c
+++ b/lib/cell/reserve.c
@@ -132,5 +132,5 @@
 
 	return !step->spec->long_running && cell_minion_reserved(m, now_ms) &&
 	       queue->priority > m->reserved_priority &&
-	       ends_ms + YIELD_SLACK_MS < step->job->deadline_unix_ms;
+	       ends_ms + YIELD_SLACK_MS < step->deadline_unix_ms;
 }
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -33,6 +33,20 @@
 	}
 }
 
+/* Emits which occurrences are done: their tasks may have been freed. */
+static void emit_occurrences(const struct snapshot_sink *e,
+			     const struct cell_job *job)
+{
+	uint32_t end = 0;
+	uint32_t from;
+
+	while (numset_range(&job->occurrences_done, end, &from, &end))
+		e->emit(e->ctx, &(struct cell_record){
+					.kind = CELL_RECORD_OCCURRENCES,
+					.job = job->spec.id,
+					.run = (uint64_t)from << 32 | end });
+}
+
 static void emit_job(const struct snapshot_sink *e, const struct cell_job *job)
 {
 	if (job->state != CELL_JOB_QUEUED && job->state != CELL_JOB_RUNNING) {
@@ -51,7 +65,10 @@
 			&(struct cell_record){ .kind = CELL_RECORD_STATE,
 					       .job = job->spec.id,
 					       .run = CELL_JOB_FAILED });
+	emit_occurrences(e, job);
 	for (uint32_t i = 0; i < job->occurrence_count; i++) {
+		if (!job->occurrences[i].steps_left && job->spec.repeat_count)
+			continue;
 		for (uint32_t s = 0; s < job->spec.step_count; s++) {
 			const struct cell_step *step =
 				&job->occurrences[i].steps[s];
--- a/tests/recurring_test.cc
+++ b/tests/recurring_test.cc
@@ -1,5 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <malloc.h>
+
+#include <algorithm>
+
 #include "cell_fixture.h"
 
 namespace
@@ -163,3 +167,215 @@
 		&crashes);
 	EXPECT_EQ(crashes, 1);
 }
+
+namespace
+{
+
+const uint32_t BACKLOG = 2000000;
+
+/* A job of which so many occurrences are due. */
+struct cell_job_spec backlog_job(const CellFixture &f, uint32_t due)
+{
+	struct cell_job_spec spec = CellFixture::job("b", "q", 1, 1000);
+
+	spec.repeat_count = due;
+	spec.interval_ms = 1000;
+	spec.first_unix_ms = f.unix_ms - due * 1000ULL;
+	return spec;
+}
+
+/* A cell whose one minion ends all runs as done, each some time later. */
+struct BusyCell : CellFixture {
+	uint64_t ended = 0; /* ends so far */
+	size_t known = 0;   /* starts that were seen */
+	std::vector<Order> running;
+
+	explicit BusyCell(uint64_t token = 5) : CellFixture(token)
+	{
+		queue("q", 0, 2);
+	}
+
+	void open()
+	{
+		cell_replay_done(cell, now);
+		minions(1, 8000);
+	}
+
+	void step()
+	{
+		std::vector<Row> rows;
+		std::vector<End> ends;
+
+		for (const Order &o : running)
+			ends.push_back(
+				{ ++ended, o.task, o.run, CELL_END_DONE, "" });
+		running.clear();
+		for (; known < starts.size(); known++) {
+			const Order &o = starts[known];
+
+			cell_on_start(cell, o.minion, o.task.c_str(), o.run,
+				      CELL_OK, now);
+			running.push_back(o);
+			rows.push_back({ o.task, o.run, "" });
+		}
+		report(0, "m0", rows, ends);
+		durable();
+		tick(100);
+	}
+
+	void play(uint64_t ms)
+	{
+		for (uint64_t end = now + ms; now < end;)
+			step();
+	}
+
+	uint32_t started(const std::string &prefix) const
+	{
+		uint32_t n = 0;
+
+		for (const Order &o : starts)
+			n += o.task.compare(0, prefix.size(), prefix) == 0;
+		return n;
+	}
+};
+
+size_t heap_bytes()
+{
+	return mallinfo2().uordblks;
+}
+
+} // namespace
+
+/* Guards against a holder that ends as all occurrences that are due are kept.
+ */
+TEST(Recurring, BacklogOfOccurrencesIsNotStored)
+{
+	BusyCell f;
+	size_t before;
+
+	f.open();
+	before = heap_bytes();
+	f.submit(backlog_job(f, BACKLOG));
+	f.tick(10);
+	f.play(2000);
+	EXPECT_LT(heap_bytes() - before, 1000000U);
+	EXPECT_GT(f.started("b.0."), 0U);
+	EXPECT_GE(f.started("b."), 50U);
+}
+
+/* Guards against occurrences that are skipped, or that run twice. */
+TEST(Recurring, OccurrencesOfABacklogRunOnceInOrder)
+{
+	BusyCell f;
+	std::vector<std::string> tasks;
+
+	f.open();
+	f.submit(backlog_job(f, 700));
+	f.play(20000);
+	EXPECT_EQ(cell_get_job_state(f.cell, "b"), CELL_JOB_COMPLETED);
+	ASSERT_EQ(f.starts.size(), 700U);
+	for (const Order &o : f.starts)
+		tasks.push_back(o.task);
+	EXPECT_EQ(tasks.front(), "b.0.0.0");
+	std::sort(tasks.begin(), tasks.end());
+	EXPECT_EQ(std::unique(tasks.begin(), tasks.end()), tasks.end());
+}
+
+/* Guards against jobs that never start beside the backlog of another. */
+TEST(Recurring, BacklogDoesNotKeepLaterJobsFromStarting)
+{
+	BusyCell f;
+
+	f.open();
+	f.submit(backlog_job(f, BACKLOG));
+	f.play(1000);
+	f.submit(CellFixture::job("later", "q", 1, 1000));
+	f.play(15000);
+	EXPECT_EQ(f.started("later."), 1U);
+}
+
+/* Guards against done occurrences that a successor runs again. */
+TEST(Recurring, SnapshotOfABacklogIsShortAndComplete)
+{
+	BusyCell f;
+	BusyCell next(6);
+	std::vector<std::pair<std::string, struct cell_record>> records;
+	size_t before;
+	uint32_t started;
+
+	f.open();
+	f.submit(backlog_job(f, BACKLOG));
+	f.play(10000);
+	started = f.started("b.");
+	ASSERT_GT(started, 300U);
+	cell_snapshot(
+		f.cell,
+		[](void *ctx, const struct cell_record *r) {
+			auto *out = static_cast<std::vector<
+				std::pair<std::string, struct cell_record>> *>(
+				ctx);
+
+			out->push_back({ r->task  ? r->task
+					 : r->job ? r->job
+						  : r->minion,
+					 *r });
+		},
+		&records);
+	EXPECT_LT(records.size(), 40U);
+	next.submit(backlog_job(f, BACKLOG), false);
+	before = heap_bytes();
+	for (auto &r : records) {
+		r.second.task = r.second.job = r.second.minion =
+			r.first.c_str();
+		if (!r.second.addr)
+			r.second.addr = "10.0.0.1:80";
+		r.second.checkpoint = "";
+		cell_replay(next.cell, &r.second);
+	}
+	next.open();
+	next.play(1000);
+	EXPECT_LT(heap_bytes() - before, 1000000U);
+	ASSERT_GT(next.starts.size(), 0U);
+	for (const Order &o : next.starts) {
+		uint32_t number = static_cast<uint32_t>(
+			strtoul(o.task.c_str() + 2, nullptr, 10));
+
+		EXPECT_GE(number + 8, started);
+	}
+}
+
+/* Guards against a replay that keeps all occurrences that have ended. */
+TEST(Recurring, ReplayOfManyEndsKeepsFewOccurrences)
+{
+	BusyCell f(6);
+	size_t before;
+
+	f.submit(backlog_job(f, BACKLOG), false);
+	before = heap_bytes();
+	for (uint32_t i = 0; i < 20000; i++) {
+		std::string task = "b." + std::to_string(i) + ".0.0";
+		struct cell_record record = end_record(task.c_str(), 5000 + i);
+
+		cell_replay(f.cell, &record);
+	}
+	EXPECT_LT(heap_bytes() - before, 200000U);
+	f.open();
+	f.play(1000);
+	ASSERT_FALSE(f.starts.empty());
+	EXPECT_EQ(f.starts[0].task, "b.20000.0.0");
+}
+
+/* Guards against a run of an occurrence that was done and freed. */
+TEST(Recurring, LateRunOfADoneOccurrenceIsStopped)
+{
+	BusyCell f;
+
+	f.open();
+	f.submit(backlog_job(f, BACKLOG));
+	f.play(10000);
+	f.stops.clear();
+	f.report(0, "m0", { { "b.3.0.0", 1, "" } }, {});
+	f.tick(10);
+	ASSERT_EQ(f.stops.size(), 1U);
+	EXPECT_EQ(f.stops[0].task, "b.3.0.0");
+}
