--- a/tests/recurring_test.cc
+++ b/tests/recurring_test.cc
@@ -195,10 +195,10 @@
 		queue("q", 0, 2);
 	}
 
-	void open()
+	void open(uint32_t cpu = 8000)
 	{
 		cell_replay_done(cell, now);
-		minions(1, 8000);
+		minions(1, cpu);
 	}
 
 	void step()
@@ -379,3 +379,35 @@
 	ASSERT_EQ(f.stops.size(), 1U);
 	EXPECT_EQ(f.stops[0].task, "b.3.0.0");
 }
+
+/* Guards against a backlog that leaves room unused while its runs last. */
+TEST(Recurring, BacklogFillsTheRoomThatThereIs)
+{
+	BusyCell f;
+
+	f.open(600000);
+	f.submit(backlog_job(f, BACKLOG));
+	for (int i = 0; i < 10; i++)
+		f.tick(100);
+	EXPECT_EQ(f.starts.size(), 600U);
+}
+
+/* Guards against a job without a schedule that counts from when it is known. */
+TEST(Recurring, JobWithoutAScheduleIsDueFromItsAcceptance)
+{
+	CellFixture f;
+	struct cell_job_spec earlier = CellFixture::job("z", "q", 1, 8000);
+
+	f.queue("q", 0, 2);
+	cell_replay_done(f.cell, f.now);
+	f.list(1, 8000);
+	f.tick(10);
+	f.submit(CellFixture::job("a", "q", 1, 8000));
+	earlier.accepted_unix_ms = f.unix_ms - 1000;
+	cell_submit(f.cell, &earlier, true, f.unix_ms, f.now);
+	f.report(0, "m0", {}, {});
+	f.durable();
+	f.tick(100);
+	ASSERT_EQ(f.starts.size(), 1U);
+	EXPECT_EQ(f.starts[0].task, "z.0.0.0");
+}
