--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -25,11 +25,15 @@
 
 Closer *closer;
 
+/* The loops of h2o, which exist until the process exits. */
+h2o_loop_t *loops[8];
+size_t loop_count;
+
 void on_written(h2o_socket_t *sock, const char *error)
 {
-	(void)sock;
 	(void)error;
 	closer->written++;
+	h2o_socket_close(sock);
 }
 
 /*
@@ -102,6 +106,8 @@
 		mallopt(M_PERTURB, 0x5a);
 		closer = &c;
 		c.loop = loop_new();
+		ASSERT_LT(loop_count, sizeof(loops) / sizeof(loops[0]));
+		loops[loop_count++] = loop_h2o(c.loop);
 		c.stop.ctx = c.loop;
 		c.stop.fn = on_stop;
 	}
