Keep cancels of jobs that are not stored yet

Cause: the holder took a job that is in the store nowhere for one that will never be. A write of it may be under way, and nothing kept the cancel.

Change: the holder journals the id, a tombstone, and answers 410 once that record is durable. A job that is added under the id, by a notification, a listing or a look-up, at this holder or a successor, is cancelled with a record of its own.

Ruled out: a stale look-up (reads of the store are linearizable, and the job is written 0.3 s later); asking only the daemon that took the job (killed, its first write may still be carried out). Weighed: a mark under the key of the job in the store; a write for each cancel, a conflict for all jobs of a batch, and something to delete.

--- a/fakes/cellsim.c
+++ b/fakes/cellsim.c
@@ -601,6 +601,7 @@
 	case CELL_RECORD_STATE:
 	case CELL_RECORD_CONTAINED:
 	case CELL_RECORD_OCCURRENCES:
+	case CELL_RECORD_TOMBSTONE:
 		return record->job;
 	default:
 		return record->minion;
--- a/jaycelld/entry.c
+++ b/jaycelld/entry.c
@@ -328,17 +328,23 @@
 	}
 }
 
+/* @number: seconds after which a refused cancel is to be sent again. */
 static void on_cancelled(void *ctx, enum cd_status status, uint32_t number)
 {
 	struct request *r = ctx;
 
-	(void)number;
-	if (status == CD_OK)
+	if (status == CD_OK) {
 		reply(r, 200, NULL, "{}");
-	else if (status == CD_GONE)
+	} else if (status == CD_GONE) {
 		reply(r, 410, NULL, "{}");
-	else
+	} else if (status == CD_REFUSED && number) {
+		r->retry_s = number;
+		reply_error(r, 503,
+			    "too many cancels of unknown jobs; "
+			    "nothing was cancelled");
+	} else {
 		reply_error(r, 504, "the job may have been cancelled");
+	}
 }
 
 static void on_pending(void *ctx, enum cd_status status, uint32_t number)
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -327,6 +327,9 @@
 	ctr_set(ctr_gauge("jaycelld_used_cpu_milli",
 			  "Thousandths of cores that runs hold."),
 		stats.used_cpu_milli);
+	ctr_set(ctr_gauge("jaycelld_tombstones",
+			  "Ids that were cancelled without a stored job."),
+		stats.tombstones);
 	ctr_set(ctr_gauge("jaycelld_interfering_pairs",
 			  "Pairs of images that are kept apart."),
 		stats.interfering);
--- a/jaycelld/holder_int.h
+++ b/jaycelld/holder_int.h
@@ -41,10 +41,11 @@
 	uint64_t next;	/* the number after the last one */
 };
 
-/* A cancel to acknowledge once its record is durable. */
+/* A cancel to answer once its record is durable. */
 struct pending_cancel {
 	uint64_t seq;
 	struct cd_origin origin;
+	enum cd_status status;
 };
 
 struct holder {
--- a/jaycelld/journal.c
+++ b/jaycelld/journal.c
@@ -46,14 +46,15 @@
 	h->queue_count++;
 }
 
-/* Acknowledges cancels whose records up to @seq are durable. */
+/* Answers cancels whose records up to @seq are durable. */
 static void reply_cancels(struct holder *h, uint64_t seq)
 {
 	uint32_t remaining = 0;
 
 	for (uint32_t i = 0; i < h->cancel_count; i++) {
 		if (h->cancels[i].seq <= seq)
-			cd_reply(h->d, &h->cancels[i].origin, CD_OK, 0);
+			cd_reply(h->d, &h->cancels[i].origin,
+				 h->cancels[i].status, 0);
 		else
 			h->cancels[remaining++] = h->cancels[i];
 	}
--- a/jaycelld/query.c
+++ b/jaycelld/query.c
@@ -32,9 +32,22 @@
 			const char *id);
 static void query_cancel(struct holder *h, const struct cd_origin *origin,
 			 const char *id);
+static void cancel_absent(struct holder *h, const struct cd_origin *origin,
+			  const char *id);
 
 static void start_lookups(struct holder *h);
 
+/* Answers for a job that neither the holder nor the store has. */
+static void answer_absent(const struct lookup *l)
+{
+	struct holder *h = l->h;
+
+	if (l->op == CD_OP_CANCEL)
+		cancel_absent(h, &l->origin, l->id);
+	else
+		cd_reply(h->d, &l->origin, CD_GONE, 0);
+}
+
 static void on_lookup(void *ctx, const struct pf_reply *reply)
 {
 	struct lookup *l = ctx;
@@ -49,7 +62,7 @@
 	} else {
 		holder_add_jobs(h, reply);
 		if (cell_get_job_state(h->cell, l->id) == CELL_JOB_UNKNOWN)
-			cd_reply(d, &l->origin, CD_GONE, 0);
+			answer_absent(l);
 		else if (l->op == CD_OP_STATE)
 			query_state(h, &l->origin, l->id);
 		else
@@ -132,6 +145,17 @@
 		cd_reply(h->d, origin, CD_OK, state);
 }
 
+static void answer_when_durable(struct holder *h, uint64_t seq,
+				const struct cd_origin *origin,
+				enum cd_status status)
+{
+	h->cancels = xrealloc(h->cancels,
+			      (h->cancel_count + 1) * sizeof(*h->cancels));
+	h->cancels[h->cancel_count++] = (struct pending_cancel){
+		.seq = seq, .origin = *origin, .status = status
+	};
+}
+
 static void query_cancel(struct holder *h, const struct cd_origin *origin,
 			 const char *id)
 {
@@ -149,10 +173,25 @@
 		cd_reply(h->d, origin, CD_OK, 0);
 		return;
 	}
-	h->cancels = xrealloc(h->cancels,
-			      (h->cancel_count + 1) * sizeof(*h->cancels));
-	h->cancels[h->cancel_count++] =
-		(struct pending_cancel){ .seq = seq, .origin = *origin };
+	answer_when_durable(h, seq, origin, CD_OK);
+}
+
+/*
+ * Cancels a job that is not stored, as a write of it may be under way: what is
+ * answered with CD_GONE must not run later.
+ */
+static void cancel_absent(struct holder *h, const struct cd_origin *origin,
+			  const char *id)
+{
+	uint32_t wait_ms;
+	uint64_t seq = cell_cancel_absent(h->cell, id, &wait_ms, loop_now_ms());
+
+	if (seq) {
+		answer_when_durable(h, seq, origin, CD_GONE);
+		return;
+	}
+	ev("cancel-refused", "id=%s wait_ms=%u", id, wait_ms);
+	cd_reply(h->d, origin, CD_REFUSED, wait_ms / 1000 + 1);
 }
 
 static void query_submit(struct holder *h, const struct cd_origin *origin,
--- a/jaycelld/record.c
+++ b/jaycelld/record.c
@@ -201,6 +201,7 @@
 	case CELL_RECORD_STATE:
 	case CELL_RECORD_CONTAINED:
 	case CELL_RECORD_OCCURRENCES:
+	case CELL_RECORD_TOMBSTONE:
 		mp_pack_text(&pk, record->job);
 		break;
 	default:
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -55,6 +55,7 @@
 		return;
 	cell_jobs_free(cell);
 	cell_expired_free(cell);
+	cell_tombstones_free(cell);
 	cell_minions_free(cell);
 	cell_advice_free(cell);
 	cell_interference_free(cell);
@@ -145,6 +146,7 @@
 	if (now_ms >= cell->next_purge_ms) {
 		cell->next_purge_ms = now_ms + PURGE_INTERVAL_MS;
 		cell_jobs_purge(cell, now_ms);
+		cell_tombstones_expire(cell, now_ms);
 	}
 	if (now_ms >= cell->last_pass_ms + pass_interval_ms(cell)) {
 		cell->last_pass_ms = now_ms;
@@ -164,6 +166,7 @@
 	stats->live_jobs = cell->live_jobs;
 	stats->ready_steps = cell->ready_count;
 	stats->unsettled = cell->unsettled;
+	stats->tombstones = cell_tombstone_count(cell);
 	stats->order_timeout_ms = cell_longest_order_timeout_ms(cell);
 	stats->minions = 0;
 	stats->failing = 0;
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -95,16 +95,19 @@
 	CELL_RECORD_UNANSWERED, /* a start had no response */
 	/* Occurrences of a job are done: from @run >> 32 to below @run. */
 	CELL_RECORD_OCCURRENCES,
+	/* A job was cancelled before it was stored; @run 1: that has expired.
+	 */
+	CELL_RECORD_TOMBSTONE,
 	CELL_RECORD_KINDS
 };
 
 /* A journal record. Pointers are valid during the call. */
 struct cell_record {
 	enum cell_record_kind kind;
-	const char *job;   /* CANCEL, STATE, OCCURRENCES; CONTAINED: a queue */
-	const char *task;  /* END, CRASH, CLEARED, UNANSWERED */
-	uint64_t run;	   /* as task; STATE: the state */
-	enum cell_end end; /* END */
+	const char *job;	/* of a job; CONTAINED: a queue */
+	const char *task;	/* END, CRASH, CLEARED, UNANSWERED */
+	uint64_t run;		/* as task; STATE: the state */
+	enum cell_end end;	/* END */
 	const char *checkpoint; /* END; NULL or empty: none */
 	const char *minion;
 	const char *addr; /* ENROLLED */
@@ -326,6 +329,7 @@
 	uint64_t duplicate_runs; /* found beside another run of their task */
 	uint32_t failing;	 /* listed minions that do not respond */
 	uint32_t interfering;	 /* pairs of images that are kept apart */
+	uint32_t tombstones;	 /* of cancelled jobs that are not stored */
 	/* Longest time, of all zones, that a response to an order may take. */
 	uint32_t order_timeout_ms;
 	uint64_t used_cpu_milli;
@@ -361,6 +365,8 @@
 uint64_t cell_append_record(struct cell *cell,
 			    const struct cell_record *record);
 uint64_t cell_cancel(struct cell *cell, const char *id, uint64_t now_ms);
+uint64_t cell_cancel_absent(struct cell *cell, const char *id,
+			    uint32_t *wait_ms, uint64_t now_ms);
 enum cell_job_state cell_get_job_state(const struct cell *cell, const char *id);
 const char *cell_job_state_name(enum cell_job_state state);
 bool cell_job_expired(const struct cell *cell, const char *id);
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 struct cell_job;
+struct cell_tombstone;
 
 enum cell_task_state {
 	CELL_TASK_READY, /* no run exists */
@@ -412,9 +413,10 @@
 	bool replaying;
 	bool dirty; /* a scheduling pass is needed */
 	uint64_t next_run;
-	struct cell_job *jobs;	      /* by id */
-	struct cell_expired *expired; /* by id */
-	uint64_t jobs_read_ms;	      /* start of the latest read of all */
+	struct cell_job *jobs;		   /* by id */
+	struct cell_expired *expired;	   /* by id */
+	struct cell_tombstone *tombstones; /* by id, the oldest first */
+	uint64_t jobs_read_ms;		   /* start of the latest read of all */
 	uint32_t live_jobs;
 	uint32_t recurring_jobs;
 	struct cell_minion **minions;
@@ -518,6 +520,17 @@
 			   void *ctx);
 void cell_expired_free(struct cell *cell);
 
+/* tombstone.c */
+bool cell_tombstone_exists(const struct cell *cell, const char *id);
+void cell_tombstone_replay(struct cell *cell, const struct cell_record *record);
+void cell_tombstones_expire(struct cell *cell, uint64_t now_ms);
+void cell_tombstones_snapshot(const struct cell *cell,
+			      void (*emit)(void *ctx,
+					   const struct cell_record *record),
+			      void *ctx);
+uint32_t cell_tombstone_count(const struct cell *cell);
+void cell_tombstones_free(struct cell *cell);
+
 /* cell.c */
 const struct cell_queue_spec *cell_queue(const struct cell *cell,
 					 const char *name);
--- a/lib/cell/job.c
+++ b/lib/cell/job.c
@@ -326,6 +326,30 @@
 			  cell_critical_path_ms(spec));
 }
 
+static void set_final_state(struct cell *cell, struct cell_job *job,
+			    enum cell_job_state state, uint64_t now_ms)
+{
+	job->final_state = state;
+	cell_job_stop_runs(cell, job, now_ms);
+}
+
+/* Cancels a live job. */
+static void cancel_job(struct cell *cell, struct cell_job *job, uint64_t now_ms)
+{
+	const char *id = job->spec.id;
+
+	set_final_state(cell, job, CELL_JOB_CANCELLED, now_ms);
+	job->pending_records++;
+	cell_event(cell,
+		   &(struct cell_event){ .what = "job-cancelled",
+					 .job = id,
+					 .age_ms = now_ms - job->added_ms });
+	job->cancel_seq = cell_record_add(
+		cell,
+		&(struct cell_record){ .kind = CELL_RECORD_CANCEL, .job = id },
+		id, NULL, 0, now_ms);
+}
+
 /*
  * Adds a job that is already in the store, and takes ownership of what @spec
  * points to. @is_new means that no other holder can know the job; otherwise an
@@ -367,6 +391,8 @@
 	else
 		cell->recurring_jobs++;
 	cell_adopt_runs(cell, job, now_ms);
+	if (!cell->replaying && cell_tombstone_exists(cell, job->spec.id))
+		cancel_job(cell, job, now_ms);
 	return true;
 }
 
@@ -564,13 +590,6 @@
 	}
 }
 
-static void set_final_state(struct cell *cell, struct cell_job *job,
-			    enum cell_job_state state, uint64_t now_ms)
-{
-	job->final_state = state;
-	cell_job_stop_runs(cell, job, now_ms);
-}
-
 /* Fails a job for another reason than the ends of its runs. */
 void cell_job_fail(struct cell *cell, struct cell_job *job, uint64_t now_ms)
 {
@@ -602,16 +621,7 @@
 			return job->cancel_seq;
 		return cell->durable_seq < cell->next_seq ? cell->next_seq : 0;
 	}
-	set_final_state(cell, job, CELL_JOB_CANCELLED, now_ms);
-	job->pending_records++;
-	cell_event(cell,
-		   &(struct cell_event){ .what = "job-cancelled",
-					 .job = id,
-					 .age_ms = now_ms - job->added_ms });
-	job->cancel_seq = cell_record_add(
-		cell,
-		&(struct cell_record){ .kind = CELL_RECORD_CANCEL, .job = id },
-		id, NULL, 0, now_ms);
+	cancel_job(cell, job, now_ms);
 	return job->cancel_seq;
 }
 
@@ -912,6 +922,9 @@
 		if (job)
 			replay_occurrences(job, record->run);
 		break;
+	case CELL_RECORD_TOMBSTONE:
+		cell_tombstone_replay(cell, record);
+		break;
 	case CELL_RECORD_KINDS:
 		break;
 	}
@@ -926,6 +939,9 @@
 	cell->replaying = false;
 	HASH_ITER(hh, cell->jobs, job, tmp)
 	{
+		if (job_is_live(job) &&
+		    cell_tombstone_exists(cell, job->spec.id))
+			cancel_job(cell, job, now_ms);
 		cell_job_publish_state(cell, job, now_ms);
 		if (!job_is_live(job))
 			continue;
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -105,5 +105,6 @@
 	cell_unanswered_snapshot(cell, emit, ctx);
 	cell_former_starts_snapshot(cell, emit, ctx);
 	cell_expired_snapshot(cell, emit, ctx);
+	cell_tombstones_snapshot(cell, emit, ctx);
 	cell_contain_snapshot(cell, emit, ctx);
 }
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -77,8 +77,9 @@
 	std::vector<Pace> paces;
 	std::vector<AdviceRequest> advice_requests;
 	std::vector<uint64_t> records;
-	std::vector<std::string> settled;  /* minions, as journalled */
-	std::vector<std::string> enrolled; /* their addresses, likewise */
+	std::vector<std::string> settled;   /* minions, as journalled */
+	std::vector<std::string> enrolled;  /* their addresses, likewise */
+	std::vector<std::string> cancelled; /* jobs, likewise */
 	std::vector<uint32_t> polls;
 	std::vector<Event> events;
 	std::vector<std::string> expired_jobs;
@@ -139,6 +140,9 @@
 					if (r->kind == CELL_RECORD_ENROLLED)
 						of(o)->enrolled.push_back(
 							r->addr);
+					if (r->kind == CELL_RECORD_CANCEL)
+						of(o)->cancelled.push_back(
+							r->job);
 				},
 			.poll =
 				[](struct cell_owner *o, uint32_t minion) {
--- a/tests/cellentry_test.cc
+++ b/tests/cellentry_test.cc
@@ -53,6 +53,7 @@
 std::vector<Call> commits;
 std::vector<Forwarded> forwarded;
 enum cd_status holder_status;
+uint32_t holder_number;
 /* Keeps objects that are never freed reachable, for the leak checker. */
 std::vector<void *> &kept = *new std::vector<void *>;
 
@@ -165,7 +166,7 @@
 	      uint64_t, cd_done done, void *ctx)
 {
 	forwarded.push_back({ op, text, "" });
-	done(ctx, holder_status, 0);
+	done(ctx, holder_status, holder_number);
 }
 
 uint32_t overload_wait_ms(const struct overload *, const char *, uint64_t)
@@ -240,6 +241,7 @@
 		commits.clear();
 		forwarded.clear();
 		holder_status = CD_OK;
+		holder_number = 0;
 		now_ms = 1000000;
 		d.loop = loop_new();
 		d.conf.revoke_ms = 5000;
@@ -627,3 +629,24 @@
 	EXPECT_EQ(metric("jaycelld_keys"), "2");
 	EXPECT_EQ(metric("jaycelld_malformed_teams"), "2");
 }
+
+/* Guards against a caller that does not learn that its cancel was refused. */
+TEST_F(CellEntry, CancelIsAnsweredWithItsOutcome)
+{
+	uint32_t sent;
+
+	start();
+	sent = send("DELETE", job_path, "Bearer ka");
+	EXPECT_EQ(status(sent), 200);
+	holder_status = CD_GONE;
+	sent = send("DELETE", job_path, "Bearer ka");
+	EXPECT_EQ(status(sent), 410);
+	holder_status = CD_UNKNOWN;
+	sent = send("DELETE", job_path, "Bearer ka");
+	EXPECT_EQ(status(sent), 504);
+	holder_status = CD_REFUSED;
+	holder_number = 77;
+	sent = send("DELETE", job_path, "Bearer ka");
+	EXPECT_EQ(status(sent), 503);
+	EXPECT_EQ(replies[sent].headers, "Retry-After: 77\r\n");
+}
--- a/tests/journal_test.cc
+++ b/tests/journal_test.cc
@@ -23,6 +23,7 @@
 };
 
 std::vector<Commit> commits;
+std::vector<enum cd_status> replies;
 
 } // namespace
 
@@ -53,9 +54,10 @@
 {
 }
 
-void cd_reply(struct celld *, const struct cd_origin *, enum cd_status,
+void cd_reply(struct celld *, const struct cd_origin *, enum cd_status status,
 	      uint32_t)
 {
+	replies.push_back(status);
 }
 
 } /* extern "C" */
@@ -104,3 +106,48 @@
 	EXPECT_EQ(cell_get_job_state(successor.cell, "j"), CELL_JOB_COMPLETED);
 	journal_free(&h);
 }
+
+/* Guards against an answer to a cancel before its record is durable. */
+TEST(Journal, CancelIsAnsweredWithItsStatusOnceDurable)
+{
+	CellFixture f;
+	CellFixture successor(9);
+	struct celld d = {};
+	struct holder h = {};
+	struct cell_record r = {};
+	struct pf_reply reply = {};
+	Commit c;
+
+	d.conf.snapshot_batches = UINT32_MAX;
+	h.d = &d;
+	h.cell = f.cell;
+	h.cancel_count = 1;
+	h.cancels = static_cast<struct pending_cancel *>(
+		calloc(1, sizeof(*h.cancels)));
+	h.cancels[0].seq = 1;
+	h.cancels[0].status = CD_GONE;
+	r.kind = CELL_RECORD_TOMBSTONE;
+	r.job = "j";
+	journal_add(&h, 1, &r);
+	commits.clear();
+	replies.clear();
+	journal_tick(&h, 1000);
+	ASSERT_EQ(commits.size(), 1U);
+	c = commits[0];
+	reply.status = PF_UNKNOWN;
+	c.done(c.ctx, &reply);
+	EXPECT_TRUE(replies.empty());
+	journal_tick(&h, loop_now_ms() + 1000);
+	ASSERT_EQ(commits.size(), 2U);
+	EXPECT_EQ(commits[1].value, c.value);
+	reply.status = PF_OK;
+	c.done(c.ctx, &reply);
+	EXPECT_EQ(replies, std::vector<enum cd_status>{ CD_GONE });
+	EXPECT_TRUE(record_replay_batch(c.value.data(), c.value.size(),
+					successor.cell));
+	cell_replay_done(successor.cell, successor.now);
+	successor.submit(CellFixture::job("j", "q", 1, 1), false);
+	successor.durable();
+	EXPECT_EQ(cell_get_job_state(successor.cell, "j"), CELL_JOB_CANCELLED);
+	journal_free(&h);
+}
--- a/tests/process/cell.sh
+++ b/tests/process/cell.sh
@@ -28,7 +28,7 @@
 		  "cpu_share": 1.0, "lease_ms": 5500, "hold_max_ms": 6000,
 		  "stop_timeout_ms": 400,
 		  "status_s": 120, "grace_s": 6,
-		  "snapshot_batches": 8 }
+		  "snapshot_batches": ${CELL_SNAPSHOT_BATCHES:-8} }
 	END
 }
 
--- a/tests/query_test.cc
+++ b/tests/query_test.cc
@@ -18,6 +18,8 @@
 
 std::vector<Call> reads;
 std::vector<enum cd_status> replies;
+uint32_t reply_number;
+std::vector<uint64_t> records; /* sequence numbers */
 bool is_valid;
 bool fails_at_once;
 
@@ -43,9 +45,10 @@
 }
 
 void cd_reply(struct celld *, const struct cd_origin *, enum cd_status status,
-	      uint32_t)
+	      uint32_t number)
 {
 	replies.push_back(status);
+	reply_number = number;
 }
 
 bool terms_valid(const struct terms *, uint64_t)
@@ -79,10 +82,17 @@
 
 	Fixture()
 	{
+		static struct cell_ops ops;
 		struct cell_settings settings = {};
 
+		ops.record = [](struct cell_owner *, uint64_t seq,
+				const struct cell_record *) {
+			records.push_back(seq);
+		};
+		h.owner.ops = &ops;
 		reads.clear();
 		replies.clear();
+		records.clear();
 		is_valid = true;
 		fails_at_once = false;
 		d.conf.store_lookups = 10;
@@ -94,6 +104,14 @@
 	~Fixture()
 	{
 		cell_free(h.cell);
+		free(h.cancels);
+	}
+
+	void cancel(const std::string &id)
+	{
+		struct cd_origin origin = {};
+
+		holder_query(&h, &origin, CD_OP_CANCEL, id.c_str(), nullptr);
 	}
 
 	void ask(size_t count)
@@ -153,4 +171,48 @@
 	EXPECT_EQ(0u, f.h.lookups);
 }
 
+/*
+ * Guards against an answer to the cancel of an unknown job that a successor
+ * does not know of: a write of the job may be under way.
+ */
+TEST(Query, CancelOfAnUnknownJobIsAnsweredOnceDurable)
+{
+	Fixture f;
+
+	f.cancel("00000000000000ff");
+	answer(PF_MISSING);
+	EXPECT_TRUE(replies.empty());
+	ASSERT_EQ(1u, f.h.cancel_count);
+	ASSERT_EQ(1u, records.size());
+	EXPECT_EQ(records[0], f.h.cancels[0].seq);
+	EXPECT_EQ(CD_GONE, f.h.cancels[0].status);
+}
+
+/* Guards against an answer that takes a failed read for a missing job. */
+TEST(Query, CancelWithoutAnAnswerOfTheStoreIsNotAnswered)
+{
+	Fixture f;
+
+	f.cancel("00000000000000ff");
+	answer(PF_UNKNOWN);
+	EXPECT_EQ(std::vector<enum cd_status>{ CD_RETRY }, replies);
+	EXPECT_EQ(0u, records.size());
+}
+
+/* Guards against a 410 for a cancel that is kept nowhere. */
+TEST(Query, CancelsOfUnknownJobsAreRefusedBeyondABound)
+{
+	Fixture f;
+	uint64_t kept = 0;
+
+	while (replies.empty() && kept < 100000) {
+		f.cancel("id" + std::to_string(kept++));
+		answer(PF_MISSING);
+	}
+	EXPECT_EQ(std::vector<enum cd_status>{ CD_REFUSED }, replies);
+	EXPECT_EQ(kept - 1, f.h.cancel_count);
+	EXPECT_GT(reply_number, 60u);
+	EXPECT_LE(reply_number, 91u);
+}
+
 } // namespace
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -36,6 +36,9 @@
 #define STEPS_MAX 2
 #define CANCEL_ONE_IN 12 /* average number of jobs per cancel */
 #define FAIL_ONE_IN 25
+/* Clients that leave before the response and cancel their job, elsewhere. */
+#define LEAVE_ONE_IN 9
+#define LEAVE_AFTER_MS 25
 #define CRASH_ONE_IN 61 /* at SUBMIT_INTERVAL_MS, as often with more jobs */
 #define CRASH_AFTER_MS 30
 #define GANG_ONE_IN 4
@@ -53,8 +56,10 @@
 enum job_phase {
 	JOB_SUBMITTING,
 	JOB_ACCEPTED,
-	JOB_REFUSED,  /* all tries were refused */
-	JOB_UNCERTAIN /* the outcome of some try is unknown */
+	JOB_REFUSED,   /* all tries were refused */
+	JOB_UNCERTAIN, /* the outcome of some try is unknown */
+	JOB_LEFT,      /* its client has left and cancels it */
+	JOB_PHASES
 };
 
 struct job {
@@ -64,6 +69,8 @@
 	bool gang;
 	bool fails;
 	bool crashes; /* its first task crashes each minion that starts it */
+	bool leaves;  /* its client does not wait for the response */
+	bool gone;    /* its cancel was answered with 410 */
 	uint32_t steps;
 	uint32_t width;
 	uint32_t cpu;
@@ -127,6 +134,10 @@
 {
 	bool answered = r->state == HTTPC_COMPLETE;
 
+	if (job->leaves && !answered) {
+		job->phase = JOB_LEFT;
+		return;
+	}
 	if (answered && r->status == 200) {
 		job->phase = JOB_ACCEPTED;
 		job->accepted_ms = loop_now_ms();
@@ -153,6 +164,11 @@
 		soak_violation(c->s,
 			       "job %s: reported %s after %s by daemon %u",
 			       job->id, state, job->state, daemon);
+	if (job->gone && !is_final(job) && !strcmp(state, "completed"))
+		soak_violation(c->s,
+			       "job %s: completed after its cancel was "
+			       "answered 410",
+			       job->id);
 	if (!strcmp(state, "cancelled") && !job->cancel_sent)
 		soak_violation(c->s,
 			       "job %s: reported cancelled by daemon %u "
@@ -169,7 +185,7 @@
 	job->next_call_ms = loop_now_ms() + STATE_POLL_MS;
 	if (r->state != HTTPC_COMPLETE)
 		return;
-	if (r->status == 410 &&
+	if (r->status == 410 && job->phase == JOB_ACCEPTED &&
 	    call->sent_ms > job->accepted_ms + VISIBLE_TIMEOUT_MS)
 		soak_violation(
 			c->s,
@@ -201,8 +217,10 @@
 
 static void on_cancelled(struct job *job, const struct httpc_response *r)
 {
-	if (r->state == HTTPC_COMPLETE && r->status == 200)
+	if (r->state == HTTPC_COMPLETE &&
+	    (r->status == 200 || (r->status == 410 && job->leaves)))
 		job->cancelled_unix_ms = unix_ms();
+	job->gone = job->cancelled_unix_ms && r->status == 410;
 	job->next_call_ms = loop_now_ms() + RETRY_DELAY_MS;
 }
 
@@ -253,7 +271,8 @@
 }
 
 static void send_call(struct callers *c, const struct call *from,
-		      const char *method, const char *path, const char *body)
+		      const char *method, const char *path, const char *body,
+		      uint32_t timeout_ms)
 {
 	struct call *call = xcalloc(1, sizeof(*call));
 	struct buf addr;
@@ -277,7 +296,7 @@
 					    .headers = headers.data,
 					    .body = body,
 					    .body_len = body ? strlen(body) : 0,
-					    .timeout_ms = TIMEOUT_MS,
+					    .timeout_ms = timeout_ms,
 					    .done = on_response,
 					    .ctx = call });
 	buf_free(&addr);
@@ -317,13 +336,23 @@
 	body = json_pack("{s:s,s:o}", "spec", spec, "steps", steps);
 	text = json_dumps(body, JSON_COMPACT);
 	job->tries++;
-	send_call(c, &call, "POST", path, text);
+	send_call(c, &call, "POST", path, text,
+		  job->leaves ? LEAVE_AFTER_MS : TIMEOUT_MS);
 	free(text);
 	free(spec);
 	json_decref(payload);
 	json_decref(body);
 }
 
+static bool wants_cancel(const struct job *job, uint64_t now)
+{
+	if (job->cancelled_unix_ms)
+		return false;
+	return job->phase == JOB_LEFT ||
+	       (job->phase == JOB_ACCEPTED && job->cancel_at_ms &&
+		now >= job->cancel_at_ms);
+}
+
 static void advance_job(struct callers *c, struct job *job, uint64_t now)
 {
 	struct call call = { .job = (uint32_t)(job - c->jobs) };
@@ -334,16 +363,15 @@
 	if (job->phase == JOB_SUBMITTING) {
 		job->in_flight = true;
 		send_submission(c, job, path);
-	} else if (job->phase == JOB_ACCEPTED && job->cancel_at_ms &&
-		   now >= job->cancel_at_ms && !job->cancelled_unix_ms) {
+	} else if (wants_cancel(job, now)) {
 		job->in_flight = true;
 		job->cancel_sent = true;
 		call.kind = CALL_CANCEL;
-		send_call(c, &call, "DELETE", path, NULL);
-	} else if (job->phase == JOB_ACCEPTED) {
+		send_call(c, &call, "DELETE", path, NULL, TIMEOUT_MS);
+	} else if (job->phase == JOB_ACCEPTED || job->phase == JOB_LEFT) {
 		job->in_flight = true;
 		call.kind = CALL_STATE;
-		send_call(c, &call, "GET", path, NULL);
+		send_call(c, &call, "GET", path, NULL, TIMEOUT_MS);
 	}
 }
 
@@ -392,6 +420,8 @@
 		job->steps = 1;
 		job->fails = false;
 	}
+	job->leaves =
+		s->options.leave && c->count % LEAVE_ONE_IN == LEAVE_ONE_IN - 1;
 	snprintf(job->id, sizeof(job->id), "%08x%08x",
 		 (uint32_t)s->options.seed, c->count);
 	c->count++;
@@ -406,7 +436,7 @@
 		return;
 	call.version = 1 + soak_random(c->s, c->version);
 	snprintf(path, sizeof(path), "/r%u/", call.version);
-	send_call(c, &call, "GET", path, NULL);
+	send_call(c, &call, "GET", path, NULL, TIMEOUT_MS);
 }
 
 /* Sends the submissions, polls, cancels and probes that are due. */
@@ -451,6 +481,7 @@
 		const struct job *job = &c->jobs[i];
 
 		if (job->phase == JOB_SUBMITTING ||
+		    (job->phase == JOB_LEFT && !job->cancelled_unix_ms) ||
 		    (job->phase == JOB_ACCEPTED && !is_final(job)))
 			return false;
 	}
@@ -599,7 +630,7 @@
 /* Logs the totals of jobs and calls. */
 void callers_report(const struct callers *c)
 {
-	uint32_t phases[4] = { 0 };
+	uint32_t phases[JOB_PHASES] = { 0 };
 	uint32_t completed = 0;
 	uint32_t cancelled = 0;
 
@@ -610,10 +641,10 @@
 	}
 	soak_log(c->s,
 		 "jobs=%u accepted=%u completed=%u cancelled=%u refused=%u "
-		 "unsure=%u calls=%u unanswered=%u",
+		 "unsure=%u left=%u calls=%u unanswered=%u",
 		 c->count, phases[JOB_ACCEPTED], completed, cancelled,
-		 phases[JOB_REFUSED], phases[JOB_UNCERTAIN], c->calls,
-		 c->unanswered);
+		 phases[JOB_REFUSED], phases[JOB_UNCERTAIN], phases[JOB_LEFT],
+		 c->calls, c->unanswered);
 }
 
 struct callers *callers_new(struct soak *s)
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -342,13 +342,17 @@
 		arg_lit0(NULL, "kills",
 			 "runs take time to end, some outlast a lease, and "
 			 "minions are cut off until leases end");
+	struct arg_lit *leave = arg_lit0(
+		NULL, "leave",
+		"some clients leave before the response and cancel their jobs");
 	struct arg_str *build =
 		arg_str0("b", "build", "DIR", "directory of binaries (build)");
 	struct arg_str *dir =
 		arg_str1("d", "dir", "DIR", "directory of settings and logs");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { seed,	 seconds,   daemons, minions, zones, port,
-			  basic, next_life, kills,   build,   dir,   end };
+	void *table[] = { seed,	 seconds, daemons,   minions, zones,
+			  port,	 basic,	  next_life, kills,   leave,
+			  build, dir,	  end };
 	struct soak_options options;
 
 	if (arg_parse(argc, argv, table)) {
@@ -369,6 +373,7 @@
 		.basic = basic->count,
 		.next_life = next_life->count,
 		.kills = kills->count,
+		.leave = leave->count,
 	};
 	if (!options.daemons || options.daemons > SOAK_DAEMONS_MAX ||
 	    !options.minions || options.minions > SOAK_MINIONS_MAX ||
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -32,6 +32,7 @@
 	bool basic;	/* no series of faults, see plan.c */
 	bool next_life; /* late calls reach the next life of a minion */
 	bool kills;	/* runs take time to end, and more leases end */
+	bool leave;	/* some clients leave early, and cancel their jobs */
 };
 
 /* Offsets from the base port. */
