Claim at once where no holder has listed the daemon

Cause: a daemon that the list in the store does not name waited before its claim until no holder without the store can act on acknowledgements any more. What that wait protects are starts of tasks that such a holder may have started, and there the minions decide, as they reject the lower token.

Change: such a daemon claims 2 s after it entered itself, and states how long an earlier holder may act, the overlap; successors pass on what is left. Jobs of earlier terms wait, as after any takeover, until each enrolled minion has answered; for one that does not, the wait is longer by the overlap. New jobs start at once.

Ruled out: a shorter constant, or "all that the list names are silent", which does not tell a holder that is cut off from one that is dead; and holders that stop starting work some seconds after they lost the store, in any outage.

--- a/jaycelld/celld.h
+++ b/jaycelld/celld.h
@@ -214,7 +214,6 @@
 bool terms_should_lead(const struct terms *terms, uint64_t now_ms);
 bool terms_valid(const struct terms *terms, uint64_t now_ms);
 bool terms_check(struct terms *terms, uint64_t now_ms);
-uint64_t terms_confirmed_ms(const struct terms *terms);
 void terms_want_confirmation(struct terms *terms, uint64_t after_ms);
 const char *terms_holder(const struct terms *terms);
 uint64_t terms_token(const struct terms *terms);
--- a/jaycelld/holder.c
+++ b/jaycelld/holder.c
@@ -382,7 +382,7 @@
 	if (!h->jobs_polling && now_ms >= h->jobs_poll_ms)
 		poll_jobs(h, now_ms);
 	cell_set_term_valid(h->cell, terms_check(h->d->terms, now_ms),
-			    terms_confirmed_ms(h->d->terms));
+			    terms_store_ms(h->d->terms));
 	cell_set_learn_run_times(h->cell, h->d->conf.learn_run_times);
 	cell_set_separate_interfering(h->cell, h->d->conf.separate_interfering);
 	cell_tick(h->cell, cd_unix_ms(), now_ms);
@@ -413,7 +413,7 @@
 struct holder *holder_new(struct celld *d, uint64_t token)
 {
 	struct holder *h = xcalloc(1, sizeof(*h));
-	struct term_leases leases = terms_leases(d->terms);
+	const struct term_leases leases = terms_leases(d->terms);
 	struct cell_settings settings = {
 		.token = token,
 		.lease_ms = leases.own_ms,
@@ -421,7 +421,7 @@
 		.stop_timeout_ms = d->conf.stop_timeout_ms,
 		.poll_wait_ms = POLL_WAIT_MS,
 		.predecessor_lease_ms =
-			(uint32_t)term_predecessor_wait_ms(leases.earlier_ms),
+			(uint32_t)term_predecessor_wait_ms(&leases),
 		.ended_job_ttl_ms = d->conf.status_s * 1000,
 	};
 
--- a/jaycelld/terms.c
+++ b/jaycelld/terms.c
@@ -200,13 +200,7 @@
 	return t->token && term_valid(t->confirmed_ms, now_ms);
 }
 
-/* Returns the time as of which no later term had begun, as far as is known. */
-uint64_t terms_confirmed_ms(const struct terms *t)
-{
-	return t->confirmed_ms;
-}
-
-/* Requests a confirmation of the term as of a time after @after_ms. */
+/* Requests that the store confirms the term as of a time after @after_ms. */
 void terms_want_confirmation(struct terms *t, uint64_t after_ms)
 {
 	t->confirm_after_ms = after_ms;
@@ -244,13 +238,14 @@
 static struct term_leases unstated_leases(const struct terms *t)
 {
 	return (struct term_leases){ .own_ms = t->d->conf.hold_max_ms,
-				     .earlier_ms = t->d->conf.hold_max_ms };
+				     .earlier_ms = t->d->conf.hold_max_ms,
+				     .overlap_ms = TERM_OVERLAP_MAX_MS };
 }
 
 static void parse_holder(struct terms *t, const struct pf_item *item)
 {
 	char copy[VALUE_MAX];
-	char *fields[5] = { NULL };
+	char *fields[6] = { NULL };
 	char *save = NULL;
 
 	t->key_leases = unstated_leases(t);
@@ -258,18 +253,21 @@
 		return;
 	memcpy(copy, item->value, item->value_len + 1);
 	fields[0] = strtok_r(copy, " ", &save);
-	for (uint32_t i = 1; i < 5; i++)
+	for (uint32_t i = 1; i < 6; i++)
 		fields[i] = strtok_r(NULL, " ", &save);
 	if (!fields[2])
 		return;
 	snprintf(t->holder, sizeof(t->holder), "%s", fields[0]);
 	snprintf(t->addr, sizeof(t->addr), "%s", fields[1]);
 	snprintf(t->nonce, sizeof(t->nonce), "%s", fields[2]);
-	if (fields[4])
-		t->key_leases = (struct term_leases){
-			.own_ms = (uint32_t)strtoul(fields[3], NULL, 10),
-			.earlier_ms = (uint32_t)strtoul(fields[4], NULL, 10)
-		};
+	if (fields[4]) {
+		t->key_leases.own_ms = (uint32_t)strtoul(fields[3], NULL, 10);
+		t->key_leases.earlier_ms =
+			(uint32_t)strtoul(fields[4], NULL, 10);
+	}
+	if (fields[5])
+		t->key_leases.overlap_ms =
+			(uint32_t)strtoul(fields[5], NULL, 10);
 }
 
 static void start_term(struct terms *t, uint64_t token, uint64_t sent_ms)
@@ -482,11 +480,15 @@
 	t->claim_leases = (struct term_leases){
 		.own_ms = t->d->conf.lease_ms,
 		.earlier_ms =
-			term_earlier_lease_ms(&t->key_leases, now - t->term_ms)
+			term_earlier_lease_ms(&t->key_leases, now - t->term_ms),
+		.overlap_ms =
+			term_overlap_ms(own_listing(t), t->entered_ms,
+					&t->key_leases, now - t->term_ms, now),
 	};
-	value = buf_fmt("%s %s %s %u %u", t->d->conf.name,
+	value = buf_fmt("%s %s %s %u %u %u", t->d->conf.name,
 			t->d->conf.peers_address, t->claim_nonce,
-			t->claim_leases.own_ms, t->claim_leases.earlier_ms);
+			t->claim_leases.own_ms, t->claim_leases.earlier_ms,
+			t->claim_leases.overlap_ms);
 	txn.conditions[0] = (struct pf_condition){ .key = CD_HOLDER_KEY,
 						   .revision = t->term };
 	txn.conditions[1] =
@@ -495,8 +497,9 @@
 	txn.puts[0] = (struct pf_put){ .key = CD_HOLDER_KEY,
 				       .value = value.data,
 				       .len = value.len };
-	ev("claim", "former=%s term=%llu why=\"%s\"",
-	   t->holder[0] ? t->holder : "-", (unsigned long long)t->term, why);
+	ev("claim", "former=%s term=%llu why=\"%s\" overlap_ms=%u",
+	   t->holder[0] ? t->holder : "-", (unsigned long long)t->term, why,
+	   t->claim_leases.overlap_ms);
 	/* An earlier claim without an answer may have succeeded. */
 	if (strcmp(t->addr, t->d->conf.peers_address) != 0)
 		snprintf(t->former, sizeof(t->former), "%s", t->addr);
@@ -550,7 +553,7 @@
 {
 	return !is_small(t) && !t->d->draining && t->loaded &&
 	       store_healthy(t, now_ms) && config_current(t->d->config) &&
-	       term_may_claim(own_listing(t), t->entered_ms, now_ms);
+	       own_listing(t) == TERM_LISTED;
 }
 
 static uint64_t claim_delay(const struct terms *t, uint64_t now)
@@ -664,7 +667,7 @@
 {
 	uint64_t interval = CONFIRM_INTERVAL_MS;
 
-	if (t->confirmed_ms <= t->confirm_after_ms)
+	if (t->store_ms <= t->confirm_after_ms)
 		interval = CONFIRM_REQUESTED_MS;
 	return now > t->store_ms + interval &&
 	       now > t->confirm_sent_ms + interval;
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -107,9 +107,10 @@
 }
 
 /*
- * Sets whether this term is valid, and the time as of which no later term had
- * begun. While the term is not valid, no run is started and no lease is
- * renewed; ends of runs are still processed.
+ * Sets whether this term is valid, and the time as of which the store confirmed
+ * that no later term had begun: what was learned before that is not used to
+ * start a task that a successor may run. While the term is not valid, no run is
+ * started and no lease is renewed; ends of runs are still processed.
  */
 void cell_set_term_valid(struct cell *cell, bool valid, uint64_t confirmed_ms)
 {
--- a/lib/cell/cell_int.h
+++ b/lib/cell/cell_int.h
@@ -406,7 +406,7 @@
 	uint64_t team_left_ms; /* when the runs not known were counted */
 	uint64_t started_ms;
 	bool valid;	       /* the term may start runs and renew leases */
-	uint64_t confirmed_ms; /* no later term had begun then */
+	uint64_t confirmed_ms; /* by the store: no later term had begun */
 	uint64_t fenced_ms;    /* when a minion last knew a later one, or 0 */
 	uint64_t tick_ms;      /* latest tick, for which that was set */
 	bool minions_listed;
--- a/lib/cell/term.c
+++ b/lib/cell/term.c
@@ -31,6 +31,12 @@
 #define WITHOUT_STORE_MAX_MS 60000
 /* The same time for another daemon; either clock may be off by 2%. */
 #define ENTRY_WAIT_MS (WITHOUT_STORE_MAX_MS * 100 / 96)
+_Static_assert(ENTRY_WAIT_MS == TERM_OVERLAP_MAX_MS, "overlap of terms");
+/*
+ * Daemons that a holder has listed claim first, in this time, in ms: also one
+ * that has just started, and one whose first call to the store fails.
+ */
+#define ENTERED_DELAY_MS 2000
 
 /*
  * Returns why this daemon should take over, as a static text for the log, or
@@ -94,7 +100,8 @@
  * condition of the term that was sent at that time. The followers show it if
  * every known daemon has acknowledged a state frame that was made at that time.
  * A daemon that is not known may have entered the list since the store last
- * confirmed it, and waits before it claims, see term_may_claim().
+ * confirmed it; as a holder it takes the overlap into account, see
+ * term_overlap_ms().
  */
 uint64_t term_confirmed_ms(const struct term_evidence *e, uint64_t now_ms)
 {
@@ -147,26 +154,46 @@
 
 /*
  * Returns true if a daemon may claim a term under the condition that the list
- * of daemons is as read. A holder without the store counts the daemons of the
- * list as it knows it, so one that entered itself at @entered_ms waits until no
- * holder acts on an earlier list.
+ * of daemons is as read, which it entered at @entered_ms, or a holder entered
+ * it. One that entered itself claims after others.
  */
 bool term_may_claim(enum term_listing listing, uint64_t entered_ms,
 		    uint64_t now_ms)
 {
 	if (listing == TERM_ENTERED)
-		return entered_ms && now_ms >= entered_ms + ENTRY_WAIT_MS;
+		return entered_ms && now_ms >= entered_ms + ENTERED_DELAY_MS;
 	return listing == TERM_LISTED;
 }
 
 /*
- * Returns how long a holder waits for leases of up to @lease_ms that earlier
- * terms may have granted, from when it learned of its claim. The clocks of
+ * Returns how long after a claim at @now_ms a holder of an earlier term may
+ * still act. Without the store it counts the daemons of the list as it knows
+ * it, and so does not count one that entered itself at @entered_ms. What the
+ * holder before, @former, has stated goes on; its term is known since @age_ms.
+ */
+uint32_t term_overlap_ms(enum term_listing listing, uint64_t entered_ms,
+			 const struct term_leases *former, uint64_t age_ms,
+			 uint64_t now_ms)
+{
+	uint64_t left_ms = 0;
+
+	if (former->overlap_ms > age_ms)
+		left_ms = former->overlap_ms - age_ms;
+	if (listing == TERM_ENTERED && entered_ms + ENTRY_WAIT_MS > now_ms &&
+	    entered_ms + ENTRY_WAIT_MS - now_ms > left_ms)
+		left_ms = entered_ms + ENTRY_WAIT_MS - now_ms;
+	return (uint32_t)left_ms;
+}
+
+/*
+ * Returns how long a holder waits, from when it learned of its claim, for what
+ * earlier terms may have left on a minion that does not answer. The clocks of
  * minions may run slow by 2%.
  */
-uint64_t term_predecessor_wait_ms(uint32_t lease_ms)
+uint64_t term_predecessor_wait_ms(const struct term_leases *leases)
 {
-	return PREDECESSOR_VALID_MS + (uint64_t)lease_ms * 100 / 98;
+	return leases->overlap_ms + PREDECESSOR_VALID_MS +
+	       (uint64_t)leases->earlier_ms * 100 / 98;
 }
 
 /*
@@ -177,7 +204,8 @@
 uint32_t term_earlier_lease_ms(const struct term_leases *former,
 			       uint64_t age_ms)
 {
-	uint64_t wait_ms = term_predecessor_wait_ms(former->earlier_ms);
+	const struct term_leases before = { .earlier_ms = former->earlier_ms };
+	uint64_t wait_ms = term_predecessor_wait_ms(&before);
 
 	if (former->earlier_ms > former->own_ms &&
 	    age_ms < ENTRY_WAIT_MS + wait_ms)
--- a/lib/cell/term.h
+++ b/lib/cell/term.h
@@ -60,15 +60,16 @@
 	TERM_LISTED   /* by a holder, or there is no list */
 };
 
-/* Leases that a holder states with its claim, in ms. */
+/* What a holder states with its claim, in ms. */
 struct term_leases {
-	uint32_t own_ms;     /* of the runs of its term */
-	uint32_t earlier_ms; /* that earlier terms may have granted */
+	uint32_t own_ms;     /* lease of the runs of its term */
+	uint32_t earlier_ms; /* longest lease of earlier terms */
+	uint32_t overlap_ms; /* holders of earlier terms may act so long */
 };
 
 uint32_t term_earlier_lease_ms(const struct term_leases *former,
 			       uint64_t age_ms);
-uint64_t term_predecessor_wait_ms(uint32_t lease_ms);
+uint64_t term_predecessor_wait_ms(const struct term_leases *leases);
 
 /* Precedes the name of a daemon that has entered itself. */
 #define TERM_ENTRY_MARK "+"
@@ -77,6 +78,13 @@
 bool term_may_claim(enum term_listing listing, uint64_t entered_ms,
 		    uint64_t now_ms);
 
+/* The longest overlap, of a holder that states none. */
+#define TERM_OVERLAP_MAX_MS 62500
+
+uint32_t term_overlap_ms(enum term_listing listing, uint64_t entered_ms,
+			 const struct term_leases *former, uint64_t age_ms,
+			 uint64_t now_ms);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -33,6 +33,7 @@
 	bool next_life; /* late calls reach the next life of a minion */
 	bool kills;	/* runs take time to end, and more leases end */
 	bool leave;	/* some clients leave early, and cancel their jobs */
+	bool replace;	/* a daemon that is lost comes back under a new name */
 };
 
 /* Offsets from the base port. */
