--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -95,8 +95,7 @@
 	CELL_RECORD_UNANSWERED, /* a start had no response */
 	/* Occurrences of a job are done: from @run >> 32 to below @run. */
 	CELL_RECORD_OCCURRENCES,
-	/* A job was cancelled before it was stored; @run 1: that has expired.
-	 */
+	/* A job was cancelled before it was stored, or @run 1: that expired */
 	CELL_RECORD_TOMBSTONE,
 	CELL_RECORD_KINDS
 };
