--- a/lib/cell/term.h
+++ b/lib/cell/term.h
@@ -60,7 +60,7 @@
 	TERM_LISTED   /* by a holder, or there is no list */
 };
 
-/* What a holder states with its claim, in ms. */
+/* Stated by a holder with its claim, in ms. */
 struct term_leases {
 	uint32_t own_ms;     /* lease of the runs of its term */
 	uint32_t earlier_ms; /* longest lease of earlier terms */
